--- /dev/null
+++ b/internal/benchwire/benchwire.go
@@ -0,0 +1,398 @@
+// Package benchwire turns the bench's wire into calls of the module and the module's calls into its wire.
+package benchwire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"weirhaven/policy"
+)
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	r := bufio.NewReaderSize(in, 1<<20)
+	w := bufio.NewWriterSize(out, 1<<18)
+	a := &adapter{hosts: map[int]*host{}, sheets: map[int][]*fastjson.Value{}, sheetOf: map[int]*fastjson.Parser{}}
+	var parser fastjson.Parser
+	for no := 1; ; no++ {
+		line, err := r.ReadBytes('\n')
+		if len(bytes.TrimSpace(line)) > 0 {
+			batch, perr := parser.ParseBytes(line)
+			if perr != nil {
+				return fmt.Errorf("batch %d is not JSON: %v", no, perr)
+			}
+			if berr := a.batch(batch, w); berr != nil {
+				return fmt.Errorf("batch %d: %w", no, berr)
+			}
+			if ferr := w.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+type adapter struct {
+	now     time.Duration
+	hosts   map[int]*host
+	sheets  map[int][]*fastjson.Value
+	sheetOf map[int]*fastjson.Parser
+}
+
+func (a *adapter) batch(v *fastjson.Value, w *bufio.Writer) error {
+	if v.Type() != fastjson.TypeObject {
+		return errors.New("not an object")
+	}
+	ts, err := whole(v, "ts_us")
+	if err != nil {
+		return err
+	}
+	a.now = time.Duration(ts) * time.Microsecond
+	if t := v.Get("parts"); t == nil || t.Type() != fastjson.TypeArray {
+		return errors.New("no parts")
+	}
+	w.WriteString(`{"parts":[`)
+	first := true
+	for _, part := range v.GetArray("parts") {
+		id, err := whole(part, "host_id")
+		if err != nil {
+			return err
+		}
+		news := part.Get("news")
+		if news == nil || news.Type() != fastjson.TypeArray {
+			return fmt.Errorf("host %d: no news", id)
+		}
+		h := a.hosts[int(id)]
+		if h == nil {
+			h = &host{adapter: a}
+			a.hosts[int(id)] = h
+		}
+		h.do = h.do[:0]
+		for i, e := range news.GetArray() {
+			if err := h.event(e); err != nil {
+				return fmt.Errorf("host %d, event %d: %w", id, i, err)
+			}
+		}
+		if len(h.do) == 0 {
+			continue
+		}
+		if !first {
+			w.WriteByte(',')
+		}
+		first = false
+		fmt.Fprintf(w, `{"host_id":%d,"do":[`, id)
+		w.Write(h.do)
+		w.WriteString("]}")
+	}
+	w.WriteString("]}\n")
+	return nil
+}
+
+// host is one instance and the names by which the wire knows its objects.
+type host struct {
+	adapter  *adapter
+	inst     *policy.Instance
+	failed   bool
+	do       []byte
+	commands map[int64]*entry
+	bricks   map[string]*policy.Brick
+	volumes  map[string]*policy.Volume
+	timers   map[int64]func()
+	timer    int64
+}
+
+// entry keeps a command's name until it is over and every dispatch has its outcome.
+type entry struct {
+	cmd        *policy.Command
+	dispatches map[int]*policy.Dispatch
+	over       bool
+}
+
+var endings = map[string]policy.Ending{"S": policy.Completed, "E": policy.Errored, "F": policy.Turned,
+	"T": policy.TimedOut, "C": policy.Unconnected, "R": policy.Broken, "X": policy.CalledOff, "N": policy.Unsent}
+
+func (h *host) event(e *fastjson.Value) (err error) {
+	kind, err := text(e, "kind")
+	if err != nil {
+		return err
+	}
+	if kind == "sheet" {
+		return h.adapter.sheet(e)
+	}
+	if kind == "crash_now" {
+		*h = host{adapter: h.adapter, do: h.do}
+		return nil
+	}
+	if h.inst == nil && kind != "enlist" && !h.failed {
+		return fmt.Errorf("%s before enlist", kind)
+	}
+	if h.failed && kind != "enlist" {
+		return nil
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			h.failed = true
+			h.act("bail_out", func() { h.str("line", fmt.Sprint("panic: ", p)) })
+		}
+	}()
+	if err = h.decide(kind, e); err != nil {
+		err = fmt.Errorf("%s: %w", kind, err)
+	}
+	return err
+}
+
+func (h *host) decide(kind string, e *fastjson.Value) error {
+	switch kind {
+	case "enlist":
+		return h.enlist(e)
+	case "view":
+		return h.view(e)
+	case "knock":
+		return h.knock(e)
+	case "timeout_fired":
+		cookie, err := text(e, "cookie")
+		if err != nil {
+			return err
+		}
+		id, err := strconv.ParseInt(cookie, 10, 64)
+		f := h.timers[id]
+		if err != nil || f == nil {
+			return fmt.Errorf("unknown timer %q", cookie)
+		}
+		delete(h.timers, id)
+		f()
+	case "client_gone":
+		id, err := whole(e, "rid")
+		if err != nil {
+			return err
+		}
+		if c := h.commands[id]; c != nil {
+			h.inst.Left(c.cmd)
+			h.close(id, c, true)
+		}
+	case "reply":
+		return h.reply(e)
+	case "first":
+		_, _, d, err := h.dispatch(e)
+		if err != nil {
+			return err
+		}
+		h.inst.Begun(d)
+	case "probe_result":
+		b, err := h.brick(e)
+		if err != nil {
+			return err
+		}
+		how, took, err := ending(e)
+		if err != nil {
+			return err
+		}
+		h.inst.Probed(b, how, took)
+	case "from_peer":
+		sender, err := whole(e, "sender")
+		if err != nil {
+			return err
+		}
+		data, err := base64Of(e, "data")
+		if err != nil {
+			return err
+		}
+		h.inst.Heard(int(sender), data)
+	default:
+		return errors.New("unknown event")
+	}
+	return nil
+}
+
+// sheet keeps a numbered list; the parser that owns its values is kept with it.
+func (a *adapter) sheet(e *fastjson.Value) error {
+	no, err := whole(e, "buffer")
+	if err != nil {
+		return err
+	}
+	lines := e.Get("lines")
+	if lines == nil || lines.Type() != fastjson.TypeArray {
+		return errors.New("sheet: no lines")
+	}
+	p := &fastjson.Parser{}
+	kept, err := p.ParseBytes(lines.MarshalTo(nil))
+	if err != nil {
+		return err
+	}
+	a.sheets[int(no)], a.sheetOf[int(no)] = kept.GetArray(), p
+	return nil
+}
+
+func (h *host) view(e *fastjson.Value) error {
+	form, err := text(e, "form")
+	if err != nil {
+		return err
+	}
+	if form == "FAILED" {
+		h.inst.ListFailed()
+		return nil
+	}
+	if form != "FULL" && form != "SAVED" && form != "INCREMENTAL" {
+		return fmt.Errorf("unknown form %q", form)
+	}
+	no, err := whole(e, "buffer")
+	if err != nil {
+		return err
+	}
+	lines, ok := h.adapter.sheets[int(no)]
+	if !ok {
+		return fmt.Errorf("unknown list number %d", no)
+	}
+	h.inst.ListBegins(form != "INCREMENTAL")
+	for _, l := range lines {
+		name, err := text(l, "brick")
+		if err != nil {
+			return err
+		}
+		status, err := text(l, "status")
+		if err != nil {
+			return err
+		}
+		b := h.bricks[name]
+		if b == nil {
+			b = &policy.Brick{Name: name}
+			h.bricks[name] = b
+		}
+		h.inst.Listed(b, string(l.GetStringBytes("region_part")), l.GetInt("group"), status == "SERVING",
+			status == "DELETED", micros(l, "boot_time_us"))
+	}
+	h.inst.ListEnds()
+	return nil
+}
+
+func (h *host) knock(e *fastjson.Value) error {
+	id, err := whole(e, "rid")
+	if err != nil {
+		return err
+	}
+	queue, err := text(e, "cls")
+	if err != nil {
+		return err
+	}
+	until, err := whole(e, "give_up_at_us")
+	if err != nil {
+		return err
+	}
+	owner, plan := string(e.GetStringBytes("owner")), string(e.GetStringBytes("grade"))
+	v := h.volumes[owner+" "+plan]
+	if v == nil {
+		v = &policy.Volume{}
+		h.volumes[owner+" "+plan] = v
+	}
+	c := &policy.Command{ID: id, Volume: v}
+	h.commands[id] = &entry{cmd: c, dispatches: map[int]*policy.Dispatch{}}
+	return h.inst.Taken(c, queue, plan, string(e.GetStringBytes("object")), e.GetInt("group_no"), e.GetInt("n_hosts"),
+		e.GetFloat64("weight"), time.Duration(until)*time.Microsecond)
+}
+
+func (h *host) reply(e *fastjson.Value) error {
+	id, c, d, err := h.dispatch(e)
+	if err != nil {
+		return err
+	}
+	how, took, err := ending(e)
+	if err != nil {
+		return err
+	}
+	last := e.GetBool("last")
+	delete(c.dispatches, d.N)
+	c.over = c.over || last
+	h.inst.Ended(d, how, took, last, e.GetFloat64("elsewhere"), e.GetFloat64("metered"))
+	h.close(id, c, false)
+	return nil
+}
+
+func (h *host) dispatch(e *fastjson.Value) (int64, *entry, *policy.Dispatch, error) {
+	id, err := whole(e, "rid")
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	n, err := whole(e, "n")
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	if _, err = h.brick(e); err != nil {
+		return 0, nil, nil, err
+	}
+	c := h.commands[id]
+	if c == nil || c.dispatches[int(n)] == nil {
+		return 0, nil, nil, fmt.Errorf("no dispatch %d of command %d is out", n, id)
+	}
+	return id, c, c.dispatches[int(n)], nil
+}
+
+func (h *host) brick(e *fastjson.Value) (*policy.Brick, error) {
+	name, err := text(e, "brick")
+	if err != nil {
+		return nil, err
+	}
+	if b := h.bricks[name]; b != nil {
+		return b, nil
+	}
+	return nil, fmt.Errorf("unknown brick %q", name)
+}
+
+func (h *host) close(id int64, c *entry, over bool) {
+	c.over = c.over || over
+	if c.over && len(c.dispatches) == 0 {
+		delete(h.commands, id)
+	}
+}
+
+func ending(e *fastjson.Value) (policy.Ending, time.Duration, error) {
+	code, err := text(e, "ending")
+	if err != nil {
+		return 0, 0, err
+	}
+	took, err := whole(e, "cost_time_us")
+	how, ok := endings[code]
+	if !ok {
+		return 0, 0, fmt.Errorf("unknown ending %q", code)
+	}
+	return how, time.Duration(took) * time.Microsecond, err
+}
+
+func whole(v *fastjson.Value, name string) (int64, error) {
+	f := v.Get(name)
+	if f == nil {
+		return 0, fmt.Errorf("no %s", name)
+	}
+	n, err := f.Int64()
+	if err != nil {
+		return 0, fmt.Errorf("%s is not a whole number", name)
+	}
+	return n, nil
+}
+
+func text(v *fastjson.Value, name string) (string, error) {
+	f := v.Get(name)
+	if f == nil {
+		return "", fmt.Errorf("no %s", name)
+	}
+	s, err := f.StringBytes()
+	if err != nil {
+		return "", fmt.Errorf("%s is not text", name)
+	}
+	return string(s), nil
+}
+
+func micros(v *fastjson.Value, keys ...string) time.Duration {
+	return time.Duration(v.GetFloat64(keys...)) * time.Microsecond
+}
--- /dev/null
+++ b/internal/benchwire/host.go
@@ -0,0 +1,201 @@
+package benchwire
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"weirhaven/policy"
+)
+
+// enlist hands the settings over; a key that this page doesn't read is skipped.
+func (h *host) enlist(e *fastjson.Value) error {
+	seed, err := whole(e, "seed")
+	if err != nil {
+		return err
+	}
+	p := e.Get("profile_data")
+	if p == nil || p.Type() != fastjson.TypeObject {
+		return fmt.Errorf("no profile_data")
+	}
+	s := policy.Settings{
+		Seed: seed, Ordinal: p.GetInt("ordinal"), Hosts: p.GetInt("balancers"),
+		Zone:         string(p.GetStringBytes("zone")),
+		Asks:         string(p.GetStringBytes("discovery")) == "ask",
+		SecondCopies: p.GetBool("limits", "second_copies"),
+		Cancel:       p.GetBool("limits", "cancel"),
+		Probe:        p.GetBool("limits", "may_probe"),
+		Peers:        p.GetBool("limits", "peers"),
+		MaxDispatch:  p.GetInt("limits", "max_attempts"),
+		AnswerSlack:  micros(p, "contract", "answer_slack_us"),
+		Resolution:   micros(p, "resolution_us"),
+		AskWithin:    micros(p, "contract", "ask_within_us"),
+		DrainGrace:   micros(p, "contract", "drain_grace_us"),
+		ColdFrom:     p.GetFloat64("contract", "cold_from"),
+		ColdFor:      micros(p, "contract", "cold_us"),
+		ColdUnits:    p.GetFloat64("family_info", "cold_units"),
+		FallAfter:    micros(p, "contract", "overload_for_us"),
+		Budgeted:     p.Exists("contract", "resend_ratio") || p.Exists("contract", "free_resends"),
+		BudgetFree:   p.GetFloat64("contract", "free_resends"),
+		BudgetShare:  p.GetFloat64("contract", "resend_ratio"),
+		BudgetSpan:   micros(p, "contract", "budget_span_us"),
+		KeyRest:      micros(p, "contract", "key_rest_us"),
+		Meter:        micros(p, "family_info", "meter_period_us"),
+		Elsewhere:    p.GetBool("family_info", "tells_elsewhere"),
+		UsualUnits:   p.GetFloat64("family_info", "usual_units"),
+		UnitsTop:     p.GetFloat64("family_info", "units_top"),
+	}
+	if p.GetBool("limits", "retry_after") {
+		s.MaxPause = micros(p, "limits", "max_retry_after_us")
+	}
+	writes := p.GetArray("family_info", "changes_data")
+	for i, c := range p.GetArray("classes") {
+		q := policy.QueueType{
+			Name:           string(c.GetStringBytes("name")),
+			ServiceTarget:  micros(c, "aim_us"),
+			CommandTimeout: micros(c, "give_up_us"),
+			Window:         micros(c, "window_us"),
+			Importance:     c.GetFloat64("worth"),
+			LateShare:      c.GetFloat64("late_value"),
+			Group:          string(c.GetStringBytes("group")),
+			Streaming:      c.GetBool("streaming"),
+			InOrder:        c.GetBool("in_order"),
+			Writes:         i < len(writes) && writes[i].Type() == fastjson.TypeTrue,
+		}
+		switch string(c.GetStringBytes("semantics")) {
+		case "repeatable":
+			q.Semantics = "retryable"
+		case "by_key":
+			q.Semantics = "tagged"
+		default:
+			q.Semantics = "non-retryable"
+		}
+		s.QueueTypes = append(s.QueueTypes, q)
+	}
+	for _, c := range p.GetArray("plans") {
+		s.Plans = append(s.Plans, policy.Plan{
+			Name:        string(c.GetStringBytes("name")),
+			Nominal:     c.GetFloat64("nominal"),
+			Reservation: c.GetFloat64("guaranteed"),
+			Limit:       c.GetFloat64("never_over"),
+			Depth:       c.GetFloat64("cap_depth"),
+			Slack:       c.GetFloat64("cap_slack"),
+			Weight:      c.GetFloat64("parts"),
+			Importance:  c.GetFloat64("worth_factor"),
+		})
+	}
+	*h = host{adapter: h.adapter, do: h.do, commands: map[int64]*entry{}, bricks: map[string]*policy.Brick{},
+		volumes: map[string]*policy.Volume{}, timers: map[int64]func(){}}
+	h.inst = policy.New(h, s)
+	return nil
+}
+
+// act writes one action; fields adds to it.
+func (h *host) act(kind string, fields func()) {
+	if len(h.do) > 0 {
+		h.do = append(h.do, ',')
+	}
+	h.do = append(h.do, `{"kind":"`...)
+	h.do = append(h.do, kind...)
+	h.do = append(h.do, '"')
+	fields()
+	h.do = append(h.do, '}')
+}
+
+func (h *host) num(name string, n int64) {
+	h.do = append(h.do, `,"`+name+`":`...)
+	h.do = strconv.AppendInt(h.do, n, 10)
+}
+
+func (h *host) str(name, s string) {
+	var a fastjson.Arena
+	h.do = append(h.do, `,"`+name+`":`...)
+	h.do = a.NewString(s).MarshalTo(h.do)
+}
+
+// Now is the batch's clock.
+func (h *host) Now() time.Duration { return h.adapter.now }
+
+// Dispatch sends a command to a brick.
+func (h *host) Dispatch(d *policy.Dispatch, timeout time.Duration) {
+	h.commands[d.Cmd.ID].dispatches[d.N] = d
+	h.act("relay", func() {
+		h.num("rid", d.Cmd.ID)
+		h.str("brick", d.Brick.Name)
+		h.num("give_up_after_us", timeout.Microseconds())
+	})
+}
+
+// BusyReply is a final answer: trying again is harmless.
+func (h *host) BusyReply(c *policy.Command, pause time.Duration) {
+	h.act("push_back", func() {
+		h.num("rid", c.ID)
+		h.num("pause_us", pause.Microseconds())
+	})
+	h.close(c.ID, h.commands[c.ID], true)
+}
+
+// Abort is a final answer that promises nothing.
+func (h *host) Abort(c *policy.Command) {
+	h.act("drop_request", func() { h.num("rid", c.ID) })
+	h.close(c.ID, h.commands[c.ID], true)
+}
+
+// Cancel stops waiting for a dispatch.
+func (h *host) Cancel(d *policy.Dispatch) {
+	h.act("drop_attempt", func() {
+		h.num("rid", d.Cmd.ID)
+		h.num("n", int64(d.N))
+	})
+}
+
+// After calls f in the first batch at or past that time.
+func (h *host) After(wait time.Duration, f func()) {
+	h.timer++
+	h.timers[h.timer] = f
+	us := max((wait + time.Microsecond - 1).Microseconds(), 0)
+	h.act("remind", func() {
+		h.num("after_us", us)
+		h.str("cookie", strconv.FormatInt(h.timer, 10))
+	})
+}
+
+// Watch asks for changes of the list, or stops asking.
+func (h *host) Watch(on bool) {
+	h.act("tail", func() { h.do = strconv.AppendBool(append(h.do, `,"enable":`...), on) })
+}
+
+// ListAll asks for the whole list once.
+func (h *host) ListAll() { h.act("list_all", func() {}) }
+
+// Probe checks a brick.
+func (h *host) Probe(b *policy.Brick) { h.act("inspect", func() { h.str("brick", b.Name) }) }
+
+// CloseIdle shuts idle connections to a brick.
+func (h *host) CloseIdle(b *policy.Brick) { h.act("drop_conns", func() { h.str("brick", b.Name) }) }
+
+// Tell sends a short message to one host, or to all with -1.
+func (h *host) Tell(peer int, data []byte) {
+	h.act("memo_to", func() {
+		h.num("neighbour_id", int64(peer))
+		h.str("data", base64.StdEncoding.EncodeToString(data))
+	})
+}
+
+// Log adds a line to the report.
+func (h *host) Log(line string) { h.act("debug", func() { h.str("line", line) }) }
+
+func base64Of(v *fastjson.Value, name string) ([]byte, error) {
+	s, err := text(v, name)
+	if err != nil {
+		return nil, err
+	}
+	b, err := base64.StdEncoding.DecodeString(s)
+	if err != nil {
+		return nil, fmt.Errorf("%s is not base64", name)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,731 @@
+// Package policy decides, for one host, which command goes to which storage node and when.
+//
+// How it is called: New once, then one method for each thing that happens: ListBegins, Listed, ListEnds,
+// ListFailed, Taken, Begun, Ended, Left, Probed, Heard. It acts through Host (host.go), at once; state.go has the
+// types. The ordinary path is the design's: Little's-law demand, the divvy, a latency-set window, tag order.
+//
+// Mechanisms beside the design:
+//  1. credit: a brick earns it by its answers, a further dispatch spends it (again)
+//  2. cold ramp: a brick that came up gets a rate that starts low and rises (coldRoom)
+//  3. yielding: what misses its service target goes only where nothing else waits (next)
+//  4. line: new objects wait at the host, a brick with a free place takes the next (pick)
+//  5. batching: a command for the piece of data that its brick took last goes first in its volume (next)
+//  6. suspicion: a brick that can't be reached gets one command at a time (room)
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"time"
+)
+
+const (
+	period     = time.Second // of demand, divvy and window
+	gamma      = 0.5
+	startQuota = 8.0
+	ceiling    = 32
+	congestion = 0.5 // Lc as a part of the shortest service target
+	creditTop  = 10.0
+	creditGain = 0.5 // credit for an answer of work done
+	never      = time.Duration(math.MaxInt64)
+)
+
+// New starts a host that knows nothing yet.
+func New(h Host, s Settings) *Instance {
+	in := &Instance{host: h, rng: rand.New(rand.NewSource(s.Seed)), hosts: math.Max(1, float64(s.Hosts)),
+		queues: map[string]*queueType{}, plans: map[string]*plan{}, cells: map[int]*cell{}, keys: map[string]*key{},
+		secondCopies: s.SecondCopies, cancels: s.Cancel, advises: s.MaxPause, asks: s.Asks,
+		maxDispatches: s.MaxDispatch, budgeted: s.Budgeted, budgetFree: s.BudgetFree, budgetShare: s.BudgetShare,
+		budgetSpan: s.BudgetSpan, keyRest: s.KeyRest, usual: math.Max(s.UsualUnits, 1), meter: s.Meter,
+		askWithin: s.AskWithin, early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter}
+	in.coldUnits = s.ColdUnits / in.hosts
+	in.coldGain = 1/math.Max(s.ColdFrom, 0.01) - 1
+	shortest := never
+	for _, q := range s.QueueTypes {
+		t := &queueType{target: q.ServiceTarget, window: q.Window, importance: q.Importance, late: q.LateShare,
+			group: q.Group, streaming: q.Streaming, order: q.InOrder}
+		switch q.Semantics {
+		case "tagged":
+			t.semantics = tagged
+		case "non-retryable":
+			t.semantics = nonRetryable
+		}
+		in.queues[q.Name] = t
+		shortest = min(shortest, q.ServiceTarget)
+	}
+	in.lc = max(time.Duration(float64(shortest)*congestion), time.Millisecond)
+	for _, p := range s.Plans {
+		in.plans[p.Name] = &plan{nominal: p.Nominal, reservation: p.Reservation, limit: p.Limit, depth: p.Depth,
+			slack: p.Slack, weight: math.Max(p.Weight, 0.01), importance: p.Importance}
+	}
+	if in.asks {
+		h.After(time.Duration(in.rng.Int63n(int64(period)/4)), in.ask)
+	}
+	h.After(period, in.turn)
+	h.After(in.lc/4, in.sweep)
+	return in
+}
+
+// ---- the list of bricks
+
+// ListBegins opens a list; in a whole one, what is not named is gone.
+func (in *Instance) ListBegins(whole bool) {
+	in.failures = 0
+	if whole {
+		for _, b := range in.bricks {
+			b.listed = false
+		}
+	}
+}
+
+// Listed is one line of the list.
+func (in *Instance) Listed(b *Brick, zone string, cellNo int, serving, gone bool, boot time.Duration) {
+	if b.quota == 0 {
+		b.quota, b.window, b.credit, b.lat = startQuota, part(startQuota, 1/in.hosts), creditTop/2, in.lc
+		b.cell = cellNo
+		in.bricks = append(in.bricks, b)
+		c := in.cellOf(cellNo)
+		c.bricks = append(c.bricks, b)
+	}
+	if boot > b.boot {
+		b.boot, b.suspect = boot, false
+		if in.coldFor > in.host.Now()-boot {
+			in.log("ramp %s: started %v ago, warm within %v", b.Name, in.host.Now()-boot, in.coldFor)
+		}
+	}
+	if b.open && !serving {
+		in.log("close %s: listed as draining or gone, %d out", b.Name, b.out)
+	}
+	b.zone, b.listed, b.open = zone, !gone, serving
+}
+
+// ListEnds closes a list.
+func (in *Instance) ListEnds() {
+	for _, b := range in.bricks {
+		if !b.listed && b.open {
+			b.open = false
+			in.log("close %s: gone from the list, %d out", b.Name, b.out)
+		}
+	}
+	for _, b := range in.bricks {
+		in.fill(b)
+	}
+}
+
+// ListFailed tells of a call or a watch that failed; hosts ask again at times of their own.
+func (in *Instance) ListFailed() {
+	in.failures++
+	wait := min(period<<min(in.failures, 3), in.askWithin/2)
+	in.log("list failed %d times, asking within %v", in.failures, wait)
+	in.host.After(wait/2+time.Duration(in.rng.Int63n(int64(wait/2)+1)), in.ask)
+}
+
+func (in *Instance) ask() { in.host.Watch(true) }
+
+// ---- commands
+
+// Taken is a command that this host now owes one final answer.
+func (in *Instance) Taken(c *Command, queue, planName, object string, cellNo, hosts int, units float64,
+	giveUp time.Duration) error {
+	now := in.host.Now()
+	if in.queues[queue] == nil || in.plans[planName] == nil {
+		return fmt.Errorf("unknown queue type %q or plan %q", queue, planName)
+	}
+	c.queue, c.object, c.cell, c.units, c.taken, c.giveUp = in.queues[queue], object, cellNo, units, now, giveUp
+	c.target = min(now+c.queue.target, giveUp)
+	in.taken = append(in.taken, now)
+	v := c.Volume
+	if v.plan == nil {
+		v.plan = in.plans[planName]
+		v.hosts = math.Max(1, float64(hosts))
+		v.reserve = v.plan.reservation / v.hosts
+		// A host that restarts can't know what it spent, so its part of the store starts empty but for its part of
+		// the slack; guards rule 7 against hosts killed in a surge. It costs a little right after the first start.
+		v.limit = bucket{level: v.plan.slack / v.hosts, rate: v.plan.limit / v.hosts, depth: v.plan.depth / v.hosts, at: now}
+		in.volumes = append(in.volumes, v)
+	}
+	c.lane = in.laneOf(v, cellNo)
+	if c.queue.order && object != "" {
+		k := in.keys[object]
+		if k == nil {
+			k = &key{}
+			in.keys[object] = k
+		}
+		k.line, c.key = append(k.line, c), k
+	}
+	c.lane.count(now, c.units)
+	in.hold(c)
+	in.host.After(giveUp-in.early-now, func() { in.expire(c) })
+	in.serve(c.lane)
+	return nil
+}
+
+// Begun tells that the answer has begun to stream: the command is the client's.
+func (in *Instance) Begun(d *Dispatch) {
+	d.Cmd.streaming = true
+	for _, o := range d.Cmd.dispatches {
+		if o != d && !o.over && in.cancels {
+			in.host.Cancel(o)
+		}
+	}
+}
+
+// Left tells that the client has gone; nothing is owed.
+func (in *Instance) Left(c *Command) {
+	if !c.over {
+		in.finish(c)
+	}
+}
+
+// expire ends a command just before its command timeout; set when it is taken, so that it can't be missed.
+func (in *Instance) expire(c *Command) {
+	if !c.over && !c.streaming {
+		in.giveUp(c)
+	}
+}
+
+// giveUp gives the final answer at once.
+func (in *Instance) giveUp(c *Command) {
+	busy := in.mayRefuse(c)
+	in.finish(c)
+	if busy {
+		in.host.BusyReply(c, in.advises)
+	} else {
+		in.host.Abort(c)
+	}
+}
+
+// finish ends what the host does for a command.
+func (in *Instance) finish(c *Command) {
+	c.over = true
+	in.unhold(c)
+	c.lane.count(in.host.Now(), -c.units)
+	for _, d := range c.dispatches {
+		if !d.over && in.cancels && !c.streaming {
+			in.host.Cancel(d)
+		}
+	}
+	in.leaveLine(c)
+}
+
+// mayRefuse guards rule 2: a busy reply says that trying again is harmless.
+func (in *Instance) mayRefuse(c *Command) bool {
+	if c.queue.semantics == retryable || c.queue.semantics == tagged && c.queue.group == "all" {
+		return true
+	}
+	for _, d := range c.dispatches {
+		if d.ran {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRun guards rules 2, 5 and 7 for a dispatch of c to b.
+func (in *Instance) mayRun(c *Command, b *Brick, now time.Duration) bool {
+	if c.key != nil && (c.key.line[0] != c || now < c.key.rest && len(c.dispatches) == 0) {
+		return false
+	}
+	for _, d := range c.dispatches {
+		if !d.ran {
+			continue
+		}
+		switch c.queue.semantics {
+		case nonRetryable:
+			return false
+		case tagged:
+			if now >= d.sent+c.queue.window || c.queue.group == "zone" && b.zone != d.Brick.zone ||
+				c.queue.group == "cell" && b.cell != d.Brick.cell {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// again tells whether a further dispatch of c may go to b: within attempts, credit and budget.
+func (in *Instance) again(c *Command, b *Brick, now time.Duration) bool {
+	if len(c.dispatches) == 0 {
+		return true
+	}
+	if c.out > 0 || len(c.dispatches) >= in.maxDispatches || b.credit < 1 {
+		return false
+	}
+	if !in.budgeted {
+		return true
+	}
+	for ; len(in.further) > 0 && in.further[0] < now-in.budgetSpan; in.further = in.further[1:] {
+	}
+	for ; len(in.taken) > 0 && in.taken[0] <= now-in.budgetSpan; in.taken = in.taken[1:] {
+	}
+	return float64(len(in.further)+1) <= in.budgetFree+in.budgetShare*float64(len(in.taken))
+}
+
+// Ended tells how a dispatch ended; last, that the command is over.
+func (in *Instance) Ended(d *Dispatch, how Ending, took time.Duration, last bool, elsewhere, metered float64) {
+	now, c, b := in.host.Now(), d.Cmd, d.Brick
+	if d.over {
+		return
+	}
+	d.over = true
+	c.out--
+	b.out--
+	for i, o := range b.flying {
+		if o == d {
+			b.flying = append(b.flying[:i], b.flying[i+1:]...)
+			break
+		}
+	}
+	d.ran = how == Completed || how == Errored || how == TimedOut || how == Broken || how == CalledOff
+	if c.key != nil && (how == TimedOut || how == Broken || how == CalledOff) {
+		c.key.rest = max(c.key.rest, now+in.keyRest)
+	}
+	// Only answers of work done feed Lat: fast failures would widen a dying brick's window.
+	switch how {
+	case Completed:
+		b.sum += took
+		b.answers++
+		b.lat += time.Duration(0.1 * float64(took-b.lat))
+		b.credit = math.Min(b.credit+creditGain, creditTop)
+		b.suspect = false
+		c.Volume.served += c.units
+	case TimedOut:
+		b.sum += took
+		b.answers++
+	case Turned:
+		b.sum += 2 * in.lc
+		b.answers++
+	case Unconnected, Broken:
+		if !b.suspect {
+			in.log("suspect %s: not reached after %v, %d out", b.Name, took, b.out)
+		}
+		b.suspect = true
+	}
+	if how == Completed || how == Errored {
+		in.told(c, elsewhere, metered)
+	}
+	switch {
+	case c.over:
+		in.leaveLine(c)
+	case last:
+		in.finish(c)
+	case c.out > 0:
+	case now >= c.giveUp-in.early || len(c.dispatches) >= in.maxDispatches || !in.retryWorks(c):
+		in.giveUp(c)
+	default:
+		in.hold(c)
+	}
+	in.fill(b)
+	if c.lane.cell != b.cell {
+		in.serve(c.lane)
+	}
+}
+
+// retryWorks tells whether c may still go to any brick that holds its data.
+func (in *Instance) retryWorks(c *Command) bool {
+	for _, b := range in.open(c.cell) {
+		if in.mayRun(c, b, in.host.Now()) {
+			return true
+		}
+	}
+	return false
+}
+
+// told takes what an answer says of the volume's service through all hosts.
+func (in *Instance) told(c *Command, elsewhere, metered float64) {
+	v := c.Volume
+	if metered > 0 {
+		v.told, v.hasTold = (metered-1)/100*v.plan.nominal, true
+	}
+	c.lane.elsewhere += elsewhere
+	c.lane.heard = true
+}
+
+// Probed is the answer to a probe; none is sent yet.
+func (in *Instance) Probed(b *Brick, how Ending, took time.Duration) {}
+
+// Heard is a message of another host; none is sent yet.
+func (in *Instance) Heard(sender int, data []byte) {}
+
+// ---- the ordinary path
+
+// serve offers a lane's commands to the bricks that can take them, the freest first.
+func (in *Instance) serve(l *lane) {
+	for len(l.held) > 0 {
+		var best *Brick
+		for _, b := range in.open(l.cell) {
+			if free := in.room(b); free > 0 && (best == nil || free > in.room(best)) {
+				best = b
+			}
+		}
+		if best == nil || !in.one(best) {
+			return
+		}
+	}
+}
+
+// room is the number of free places at a brick.
+func (in *Instance) room(b *Brick) int {
+	if !b.open {
+		return 0
+	}
+	if b.suspect {
+		return 1 - b.out
+	}
+	return b.window - b.out
+}
+
+func (in *Instance) fill(b *Brick) {
+	for in.room(b) > 0 && in.one(b) {
+	}
+}
+
+// one sends the next command to a brick with a free place.
+func (in *Instance) one(b *Brick) bool {
+	now := in.host.Now()
+	c, due := in.pick(b, now)
+	if c == nil {
+		return false
+	}
+	v, l := c.Volume, c.lane
+	if !c.charged && v.plan.limit > 0 {
+		v.limit.level -= c.units
+	}
+	c.charged = true
+	if due {
+		v.rTag = max(v.rTag, now-period) + time.Duration(c.units/v.reserve*float64(time.Second))
+	} else {
+		l.wTag = math.Max(l.wTag, b.vtime)
+		b.vtime = l.wTag
+		l.wTag += c.units / v.plan.weight
+	}
+	if len(c.dispatches) > 0 {
+		b.credit--
+		in.further = append(in.further, now)
+	}
+	in.unhold(c)
+	d := &Dispatch{Cmd: c, Brick: b, N: len(c.dispatches), sent: now, ran: true}
+	c.dispatches = append(c.dispatches, d)
+	c.out++
+	b.out++
+	b.flying = append(b.flying, d)
+	b.object = c.object
+	if in.coldFor > now-b.boot && b.boot > 0 {
+		b.coldLog = append(b.coldLog, spent{now, c.units})
+	}
+	in.host.Dispatch(d, 0)
+	if b.out >= b.window {
+		b.full = true
+	}
+	return true
+}
+
+// pick takes the due reservation tag that is least, else the least weight tag under limit.
+func (in *Instance) pick(b *Brick, now time.Duration) (best *Command, due bool) {
+	cold := in.coldRoom(b, now)
+	var bestLate bool
+	var bestTag float64
+	look := func(l *lane) {
+		if len(l.held) == 0 {
+			return
+		}
+		c, late := in.next(l, b, now, cold)
+		if c == nil {
+			return
+		}
+		v := l.vol
+		isDue := !late && v.reserve > 0 && max(v.rTag, now-period) <= now
+		tag := math.Max(l.wTag, b.vtime)
+		if isDue {
+			tag = max(v.rTag, now-period).Seconds()
+		}
+		if best == nil || bestLate && !late || late == bestLate && (isDue && !due || isDue == due && tag < bestTag) {
+			best, due, bestLate, bestTag = c, isDue, late, tag
+		}
+	}
+	for _, l := range in.cellOf(b.cell).lanes {
+		look(l)
+	}
+	for _, l := range in.cellOf(-1).lanes {
+		look(l)
+	}
+	return best, due
+}
+
+// next is the command of a lane that leaves first, and whether it will miss its service target.
+func (in *Instance) next(l *lane, b *Brick, now time.Duration, cold float64) (best *Command, late bool) {
+	v := l.vol
+	room := math.Inf(1)
+	if v.plan.limit > 0 {
+		v.limit.fill(now)
+		room = v.limit.level
+	}
+	rank := func(c *Command) (int, time.Duration) {
+		if now+b.lat > c.target {
+			return 2, c.taken
+		}
+		if c.object != "" && c.object == b.object && len(c.dispatches) == 0 {
+			return 0, c.target
+		}
+		return 1, c.target
+	}
+	bestRank, bestAt := 3, never
+	for _, c := range l.held {
+		if c.units > cold || !c.charged && c.units > room || c.notBefore > now {
+			continue
+		}
+		r, at := rank(c)
+		if (r < bestRank || r == bestRank && at < bestAt) && in.mayRun(c, b, now) && in.again(c, b, now) {
+			best, bestRank, bestAt = c, r, at
+		}
+	}
+	return best, bestRank == 2
+}
+
+// coldRoom is how many units a brick may still take from this host. Guards rule 4: a brick that came up bears
+// cold_units a span from all hosts together, and more as it warms; this host takes its part of that.
+func (in *Instance) coldRoom(b *Brick, now time.Duration) float64 {
+	age := now - b.boot
+	if b.boot == 0 || age >= in.coldFor {
+		b.coldLog = nil
+		return math.Inf(1)
+	}
+	room := in.coldUnits * (1 + in.coldGain*age.Seconds()/in.coldFor.Seconds())
+	for ; len(b.coldLog) > 0 && b.coldLog[0].at <= now-in.coldSpan; b.coldLog = b.coldLog[1:] {
+	}
+	for _, s := range b.coldLog {
+		room -= s.units
+	}
+	return room
+}
+
+// sweep ends what can't be answered in time any more and wakes lanes that waited for a rate.
+func (in *Instance) sweep() {
+	now := in.host.Now()
+	for _, v := range in.volumes {
+		for _, l := range v.lanes {
+			if len(l.held) == 0 {
+				continue
+			}
+			for _, c := range append([]*Command(nil), l.held...) {
+				if now+in.least(l.cell) > c.giveUp {
+					in.giveUp(c)
+				}
+			}
+			in.serve(l)
+		}
+	}
+	in.host.After(in.lc/4, in.sweep)
+}
+
+// least is the shortest latency that the bricks of a cell show.
+func (in *Instance) least(cellNo int) time.Duration {
+	lat := never / 4
+	for _, b := range in.open(cellNo) {
+		lat = min(lat, b.lat)
+	}
+	if lat == never/4 {
+		return in.lc
+	}
+	return lat
+}
+
+// turn is the design's period: demand, divvy, windows.
+func (in *Instance) turn() {
+	now := in.host.Now()
+	for _, v := range in.volumes {
+		in.demand(v, now)
+	}
+	for _, b := range in.bricks {
+		in.resize(b, now)
+		in.fill(b)
+	}
+	in.host.After(period, in.turn)
+}
+
+// demand sets a volume's demand by Little's law and its part of the reservation.
+func (in *Instance) demand(v *Volume, now time.Duration) {
+	mine, other := 0.0, 0.0
+	v.rate += 0.5 * (v.served/period.Seconds() - v.rate)
+	v.served = 0
+	for _, l := range v.lanes {
+		l.count(now, 0)
+		l.demand = l.area / period.Seconds() / in.lc.Seconds()
+		l.area = 0
+		mine += l.demand
+	}
+	for _, l := range v.lanes {
+		switch {
+		case v.hosts == 1:
+			l.others = 0
+		case v.hasTold:
+			l.others = math.Max(0, v.told-v.rate) * (l.demand + 0.01) / (mine + 0.01*float64(len(v.lanes)))
+		case l.heard:
+			l.others += 0.5 * (l.elsewhere/period.Seconds() - l.others)
+		default:
+			l.others = v.plan.nominal * (v.hosts - 1) / v.hosts / float64(len(v.lanes))
+		}
+		l.elsewhere = 0
+		other += l.others
+	}
+	parts := []share{{most: mine, weight: 1}, {most: other, weight: v.hosts - 1}}
+	v.reserve = divvy(v.plan.reservation, parts)[0].got
+}
+
+// resize moves a brick's window by its latency and takes this host's part of it.
+func (in *Instance) resize(b *Brick, now time.Duration) {
+	for _, d := range b.flying {
+		if age := now - d.sent; age > in.lc {
+			b.sum += age
+			b.answers++
+		}
+	}
+	if b.answers > 0 {
+		ratio := in.lc.Seconds() / (b.sum.Seconds() / float64(b.answers))
+		if ratio < 1 || b.full { // an idle brick's low latency says nothing of a wider window
+			b.quota = math.Min(math.Max((1-gamma)*b.quota+gamma*ratio*b.quota, 1), ceiling)
+		}
+	}
+	b.sum, b.answers, b.full = 0, 0, b.out >= b.window
+	lanes := in.cellOf(b.cell).lanes
+	parts := make([]share, len(lanes))
+	for i, l := range lanes {
+		all := 0.0
+		for _, o := range l.vol.lanes {
+			all += o.demand + o.others
+		}
+		total := l.demand + l.others
+		parts[i] = share{most: total, weight: l.vol.plan.weight}
+		if all > 0 {
+			parts[i].least = math.Min(l.vol.plan.reservation*total/all, total)
+		}
+	}
+	divvy(b.quota/in.lc.Seconds()*in.usual, parts)
+	mine, sum := 0.0, 0.0
+	for i, l := range lanes {
+		sum += parts[i].got
+		if parts[i].most > 0 {
+			mine += parts[i].got * l.demand / parts[i].most
+		}
+	}
+	of := 1 / in.hosts
+	if sum > 0 {
+		of = math.Max(of, mine/sum)
+	}
+	b.window = part(b.quota, of)
+}
+
+func part(quota, of float64) int { return int(math.Min(math.Max(math.Round(quota*of), 1), ceiling)) }
+
+// divvy splits an amount by weight between least and most; what is left beyond all demand goes by weight too.
+func divvy(amount float64, parts []share) []share {
+	var weight, most, top float64
+	for _, p := range parts {
+		weight += p.weight
+		most += p.most
+		top = math.Max(top, p.most/math.Max(p.weight, 1e-9))
+	}
+	low, high := 0.0, top
+	for i := 0; i < 40 && most > amount; i++ {
+		level, sum := (low+high)/2, 0.0
+		for _, p := range parts {
+			sum += math.Min(math.Max(level*p.weight, p.least), p.most)
+		}
+		if sum > amount {
+			high = level
+		} else {
+			low = level
+		}
+	}
+	for i := range parts {
+		p := &parts[i]
+		if most <= amount {
+			p.got = p.most + (amount-most)*p.weight/math.Max(weight, 1e-9)
+		} else {
+			p.got = math.Min(math.Max(high*p.weight, p.least), p.most)
+		}
+	}
+	return parts
+}
+
+// ---- small things
+
+func (in *Instance) hold(c *Command) {
+	c.held = true
+	c.lane.held = append(c.lane.held, c)
+}
+
+func (in *Instance) unhold(c *Command) {
+	if !c.held {
+		return
+	}
+	c.held = false
+	for i, o := range c.lane.held {
+		if o == c {
+			c.lane.held = append(c.lane.held[:i], c.lane.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// leaveLine frees a key once its command is over and no dispatch of it is out.
+func (in *Instance) leaveLine(c *Command) {
+	if c.key == nil || c.out > 0 {
+		return
+	}
+	k := c.key
+	for i, o := range k.line {
+		if o == c {
+			k.line = append(k.line[:i], k.line[i+1:]...)
+			break
+		}
+	}
+	if len(k.line) == 0 && k.rest <= in.host.Now() {
+		delete(in.keys, c.object)
+	}
+}
+
+func (in *Instance) cellOf(no int) *cell {
+	c := in.cells[no]
+	if c == nil {
+		c = &cell{}
+		in.cells[no] = c
+	}
+	return c
+}
+
+// open is the bricks that may take commands of a cell; a new object may go to any.
+func (in *Instance) open(cellNo int) []*Brick {
+	if cellNo < 0 {
+		return in.bricks
+	}
+	return in.cellOf(cellNo).bricks
+}
+
+func (in *Instance) laneOf(v *Volume, cellNo int) *lane {
+	for _, l := range v.lanes {
+		if l.cell == cellNo {
+			return l
+		}
+	}
+	l := &lane{vol: v, cell: cellNo, since: in.host.Now()}
+	v.lanes = append(v.lanes, l)
+	c := in.cellOf(cellNo)
+	c.lanes = append(c.lanes, l)
+	return l
+}
+
+// count keeps the units held and out over time, so that time held at the host counts in demand.
+func (l *lane) count(now time.Duration, units float64) {
+	l.area += l.units * (now - l.since).Seconds()
+	l.since = now
+	l.units += units
+}
+
+func (k *bucket) fill(now time.Duration) {
+	k.level = math.Min(k.level+k.rate*(now-k.at).Seconds(), k.depth)
+	k.at = now
+}
+
+func (in *Instance) log(format string, args ...any) { in.host.Log(fmt.Sprintf(format, args...)) }
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,112 @@
+package policy
+
+import "fmt"
+
+// One final answer in time, though nothing ever comes back from the brick.
+func Example_noCommandLost() {
+	b := start(setting(), "a")
+	b.take("read", "plain", "x", 0, 2)
+	b.run(2000 * ms)
+	// Output:
+	//     0ms dispatch 1.0 to a
+	//   996ms cancel 1.0
+	//   996ms busy-reply 1, back in 1s
+}
+
+// A non-retryable command that may have run is neither sent again nor busy-replied; one that never ran is.
+func Example_nonRetryable() {
+	s := setting()
+	s.QueueTypes[2].Semantics = "non-retryable"
+	b := start(s, "a")
+	b.take("once", "plain", "x", 0, 2)
+	b.end(Unconnected, false)
+	b.end(Errored, false)
+	// Output:
+	//     0ms dispatch 1.0 to a
+	//     0ms log: suspect a: not reached after 0s, 0 out
+	//     0ms dispatch 1.1 to a
+	//     0ms abort 1
+}
+
+// Nothing goes to a draining brick, also what waits.
+func Example_drain() {
+	b := start(setting(), "a")
+	b.in.ListBegins(false)
+	b.list("a", 0, false, 0)
+	b.in.ListEnds()
+	b.take("read", "plain", "x", 0, 2)
+	b.run(2000 * ms)
+	// Output:
+	//     0ms log: close a: listed as draining or gone, 0 out
+	//   925ms busy-reply 1, back in 1s
+}
+
+// A brick that just came up gets this host's half of what it always bears, and more as it warms.
+func Example_coldBrick() {
+	b := start(setting(), "a")
+	b.run(5000 * ms)
+	b.in.ListBegins(false)
+	b.list("a", 0, true, 5000*ms)
+	b.in.ListEnds()
+	for range 4 {
+		b.take("read", "plain", "x", 0, 2)
+	}
+	b.end(Completed, true)
+	b.end(Completed, true)
+	b.run(900 * ms)
+	b.take("read", "plain", "x", 0, 2)
+	b.run(600 * ms)
+	b.end(Completed, true)
+	b.run(0)
+	// Output:
+	//  5000ms log: ramp a: started 0s ago, warm within 10s
+	//  5000ms dispatch 1.0 to a
+	//  5000ms dispatch 2.0 to a
+	//  5925ms busy-reply 3, back in 1s
+	//  5925ms busy-reply 4, back in 1s
+	//  6000ms dispatch 5.0 to a
+}
+
+// Commands for one key run one at a time, and the key rests after an outcome that may still run.
+func Example_keyOrder() {
+	b := start(setting(), "a")
+	b.take("row", "plain", "k", 0, 2)
+	b.take("row", "plain", "k", 0, 2)
+	b.take("row", "plain", "j", 0, 2)
+	b.end(Broken, true)
+	b.run(400 * ms)
+	// Output:
+	//     0ms dispatch 1.0 to a
+	//     0ms dispatch 3.0 to a
+	//     0ms log: suspect a: not reached after 0s, 1 out
+}
+
+// The limit's store of this host starts with its part of the slack and fills at its part of the rate.
+func Example_limit() {
+	b := start(setting(), "a")
+	for range 4 {
+		b.take("read", "capped", "x", 0, 2)
+	}
+	b.run(900 * ms)
+	// Output:
+	//     0ms dispatch 1.0 to a
+	//   500ms dispatch 2.0 to a
+}
+
+// The divvy: all demand and an even part of the rest, or by weight between least and most.
+func Example_divvy() {
+	show := func(amount float64, parts ...share) {
+		divvy(amount, parts)
+		for i, p := range parts {
+			fmt.Printf("%d: %.1f;", i, p.got)
+		}
+		fmt.Println()
+	}
+	show(12, share{most: 2, weight: 1}, share{most: 4, weight: 1})
+	show(12, share{most: 2, weight: 1}, share{most: 40, weight: 1}, share{most: 40, weight: 1})
+	show(12, share{least: 6, most: 9, weight: 1}, share{most: 40, weight: 1}, share{most: 40, weight: 2})
+	// Output:
+	// 0: 5.0;1: 7.0;
+	// 0: 2.0;1: 5.0;2: 5.0;
+	// 0: 6.0;1: 2.0;2: 4.0;
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,188 @@
+package policy
+
+import (
+	"math/rand"
+	"time"
+)
+
+// Ending tells how a dispatch ended.
+type Ending int
+
+const (
+	Completed   Ending = iota
+	Errored            // may have run
+	Turned             // turned away unseen
+	TimedOut           // may run still
+	Unconnected        // never ran
+	Broken             // may have run
+	CalledOff          // may run still
+	Unsent             // never ran
+)
+
+// Dispatch is one try of a command at a brick.
+type Dispatch struct {
+	Cmd   *Command
+	Brick *Brick
+	N     int
+
+	sent time.Duration
+	over bool
+	ran  bool // may have run, or may yet
+}
+
+// Command is one read or write that a client handed to this host.
+type Command struct {
+	ID     int64
+	Volume *Volume
+
+	queue      *queueType
+	units      float64
+	object     string
+	cell       int
+	taken      time.Duration
+	target     time.Duration // when the service target passes
+	giveUp     time.Duration // when the command timeout passes
+	notBefore  time.Duration
+	lane       *lane
+	dispatches []*Dispatch
+	out        int
+	held, over bool
+	streaming  bool
+	charged    bool
+	key        *key
+}
+
+// Brick is one storage node named by a list.
+type Brick struct {
+	Name string
+
+	zone    string
+	cell    int
+	share   float64
+	boot    time.Duration
+	open    bool
+	listed  bool
+	suspect bool
+	credit  float64
+	out     int
+	quota   float64 // Q, the latency-set window of all hosts
+	window  int     // this host's part of it
+	full    bool    // the window was reached since the last period
+	lat     time.Duration
+	sum     time.Duration
+	answers int
+	flying  []*Dispatch
+	vtime   float64
+	coldLog []spent // while it is cold
+	object  string  // of the last dispatch
+}
+
+// Volume is one volume with its plan, as this host knows it.
+type Volume struct {
+	plan    *plan
+	hosts   float64
+	lanes   []*lane
+	reserve float64 // this host's part of the reservation
+	limit   bucket  // this host's part of the limit
+	rTag    time.Duration
+	told    float64
+	hasTold bool
+	served  float64
+	rate    float64 // own service, units a second
+}
+
+// The rest lives as long as the instance.
+
+type lane struct {
+	vol       *Volume
+	cell      int
+	held      []*Command
+	wTag      float64
+	units     float64 // held and out now
+	area      float64 // units x seconds since the last period
+	since     time.Duration
+	demand    float64 // units a second
+	others    float64
+	elsewhere float64
+	heard     bool
+}
+
+type queueType struct {
+	target, window   time.Duration
+	importance, late float64
+	semantics        semantics
+	group            string
+	streaming, order bool
+}
+
+type semantics int
+
+const (
+	retryable semantics = iota
+	tagged
+	nonRetryable
+)
+
+type plan struct {
+	nominal, reservation, limit, depth, slack, weight, importance float64
+}
+
+type bucket struct {
+	level, rate, depth float64
+	at                 time.Duration
+}
+
+type spent struct {
+	at    time.Duration
+	units float64
+}
+
+// share is one part of a divvy.
+type share struct {
+	least, most, weight, got float64
+}
+
+type key struct {
+	line []*Command
+	rest time.Duration
+}
+
+// Instance decides for one host.
+type Instance struct {
+	host Host
+	rng  *rand.Rand
+
+	hosts          float64
+	queues         map[string]*queueType
+	plans          map[string]*plan
+	lc             time.Duration
+	early          time.Duration
+	secondCopies   bool
+	cancels        bool
+	advises        time.Duration
+	asks           bool
+	maxDispatches  int
+	coldUnits      float64 // what a brick just started bears from this host within coldSpan
+	coldSpan       time.Duration
+	coldGain       float64
+	coldFor        time.Duration
+	budgeted       bool
+	budgetFree     float64
+	budgetShare    float64
+	budgetSpan     time.Duration
+	keyRest        time.Duration
+	usual          float64
+	meter          time.Duration
+	askWithin      time.Duration
+	volumes        []*Volume
+	bricks         []*Brick
+	cells          map[int]*cell
+	keys           map[string]*key
+	further, taken []time.Duration
+	failures       int
+}
+
+type cell struct {
+	bricks []*Brick
+	lanes  []*lane
+}
