--- a/policy/policy.go
+++ b/policy/policy.go
@@ -293,9 +293,11 @@
 	case TimedOut:
 		b.sum += took
 		b.answers++
-	case Turned:
-		b.sum += 2 * in.lc
-		b.answers++
+	case Turned: // guards against a full brick that looks free since it answers fast: rest, then one at a time
+		if b.rest < now {
+			b.quota = math.Max(b.quota/2, 1)
+			b.rest, b.suspect = now+in.lc, true
+		}
 	case Unconnected, Broken:
 		if !b.suspect {
 			in.log("suspect %s: not reached after %v, %d out", b.Name, took, b.out)
@@ -367,7 +369,7 @@
 
 // room is the number of free places at a brick.
 func (in *Instance) room(b *Brick) int {
-	if !b.open {
+	if !b.open || in.host.Now() < b.rest {
 		return 0
 	}
 	if b.suspect {
--- a/policy/state.go
+++ b/policy/state.go
@@ -63,6 +63,7 @@
 	open    bool
 	listed  bool
 	suspect bool
+	rest    time.Duration // nothing goes before
 	credit  float64
 	out     int
 	quota   float64 // Q, the latency-set window of all hosts
