--- a/policy/policy.go
+++ b/policy/policy.go
@@ -290,7 +290,7 @@
 		b.credit = math.Min(b.credit+creditGain, creditTop)
 		b.suspect = false
 		c.Volume.served += c.units
-	case TimedOut:
+	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
 		b.sum += took
 		b.answers++
 	case Turned: // guards against a full brick that looks free since it answers fast: rest, then one at a time
