--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,11 +17,13 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"time"
 )
 
 const (
-	period     = time.Second // of demand, divvy and window
+	period     = time.Second // of demand and divvy; the window's is 2 Lc
+	growth     = 0.25        // most that a window grows in one of its periods
 	gamma      = 0.5
 	startQuota = 8.0
 	ceiling    = 32
@@ -82,7 +84,8 @@
 // Listed is one line of the list.
 func (in *Instance) Listed(b *Brick, zone string, cellNo int, serving, gone bool, boot time.Duration) {
 	if b.quota == 0 {
-		b.quota, b.window, b.credit, b.lat = startQuota, part(startQuota, 1/in.hosts), creditTop/2, in.lc
+		b.quota, b.of, b.credit, b.lat = startQuota, 1/in.hosts, creditTop/2, in.lc
+		b.window = part(b.quota, b.of)
 		b.cell = cellNo
 		in.bricks = append(in.bricks, b)
 		c := in.cellOf(cellNo)
@@ -271,12 +274,7 @@
 	d.over = true
 	c.out--
 	b.out--
-	for i, o := range b.flying {
-		if o == d {
-			b.flying = append(b.flying[:i], b.flying[i+1:]...)
-			break
-		}
-	}
+	b.flying = without(b.flying, d)
 	d.ran = how == Completed || how == Errored || how == TimedOut || how == Broken || how == CalledOff
 	if c.key != nil && (how == TimedOut || how == Broken || how == CalledOff) {
 		c.key.rest = max(c.key.rest, now+in.keyRest)
@@ -344,11 +342,9 @@
 	c.lane.heard = true
 }
 
-// Probed is the answer to a probe; none is sent yet.
+// Probed is the answer to a probe and Heard another host's message; none is sent yet.
 func (in *Instance) Probed(b *Brick, how Ending, took time.Duration) {}
-
-// Heard is a message of another host; none is sent yet.
-func (in *Instance) Heard(sender int, data []byte) {}
+func (in *Instance) Heard(sender int, data []byte)                   {}
 
 // ---- the ordinary path
 
@@ -505,12 +501,17 @@
 // sweep ends what can't be answered in time any more and wakes lanes that waited for a rate.
 func (in *Instance) sweep() {
 	now := in.host.Now()
+	for _, b := range in.bricks {
+		if now-b.sized >= 2*in.lc {
+			in.resize(b, now)
+		}
+	}
 	for _, v := range in.volumes {
 		for _, l := range v.lanes {
 			if len(l.held) == 0 {
 				continue
 			}
-			for _, c := range append([]*Command(nil), l.held...) {
+			for _, c := range slices.Clone(l.held) {
 				if now+in.least(l.cell) > c.giveUp {
 					in.giveUp(c)
 				}
@@ -540,7 +541,7 @@
 		in.demand(v, now)
 	}
 	for _, b := range in.bricks {
-		in.resize(b, now)
+		in.entitle(b)
 		in.fill(b)
 	}
 	in.host.After(period, in.turn)
@@ -575,7 +576,7 @@
 	v.reserve = divvy(v.plan.reservation, parts)[0].got
 }
 
-// resize moves a brick's window by its latency and takes this host's part of it.
+// resize moves a brick's window by its latency.
 func (in *Instance) resize(b *Brick, now time.Duration) {
 	for _, d := range b.flying {
 		if age := now - d.sent; age > in.lc {
@@ -584,12 +585,18 @@
 		}
 	}
 	if b.answers > 0 {
-		ratio := in.lc.Seconds() / (b.sum.Seconds() / float64(b.answers))
+		ratio := math.Min(in.lc.Seconds()/(b.sum.Seconds()/float64(b.answers)), 1+growth/gamma)
 		if ratio < 1 || b.full { // an idle brick's low latency says nothing of a wider window
 			b.quota = math.Min(math.Max((1-gamma)*b.quota+gamma*ratio*b.quota, 1), ceiling)
 		}
 	}
-	b.sum, b.answers, b.full = 0, 0, b.out >= b.window
+	b.sum, b.answers, b.sized = 0, 0, now
+	b.window = part(b.quota, b.of)
+	b.full = b.out >= b.window
+}
+
+// entitle splits a brick's window among the hosts by what the volumes are entitled to there.
+func (in *Instance) entitle(b *Brick) {
 	lanes := in.cellOf(b.cell).lanes
 	parts := make([]share, len(lanes))
 	for i, l := range lanes {
@@ -603,19 +610,18 @@
 			parts[i].least = math.Min(l.vol.plan.reservation*total/all, total)
 		}
 	}
-	divvy(b.quota/in.lc.Seconds()*in.usual, parts)
 	mine, sum := 0.0, 0.0
-	for i, l := range lanes {
-		sum += parts[i].got
-		if parts[i].most > 0 {
-			mine += parts[i].got * l.demand / parts[i].most
+	for i, p := range divvy(b.quota/in.lc.Seconds()*in.usual, parts) {
+		sum += p.got
+		if p.most > 0 {
+			mine += p.got * lanes[i].demand / p.most
 		}
 	}
-	of := 1 / in.hosts
+	b.of = 1 / in.hosts
 	if sum > 0 {
-		of = math.Max(of, mine/sum)
+		b.of = math.Max(b.of, mine/sum)
 	}
-	b.window = part(b.quota, of)
+	b.window = part(b.quota, b.of)
 }
 
 func part(quota, of float64) int { return int(math.Min(math.Max(math.Round(quota*of), 1), ceiling)) }
@@ -640,12 +646,10 @@
 			low = level
 		}
 	}
-	for i := range parts {
-		p := &parts[i]
+	for i, p := range parts {
+		parts[i].got = math.Min(math.Max(high*p.weight, p.least), p.most)
 		if most <= amount {
-			p.got = p.most + (amount-most)*p.weight/math.Max(weight, 1e-9)
-		} else {
-			p.got = math.Min(math.Max(high*p.weight, p.least), p.most)
+			parts[i].got = p.most + (amount-most)*p.weight/math.Max(weight, 1e-9)
 		}
 	}
 	return parts
@@ -659,15 +663,8 @@
 }
 
 func (in *Instance) unhold(c *Command) {
-	if !c.held {
-		return
-	}
-	c.held = false
-	for i, o := range c.lane.held {
-		if o == c {
-			c.lane.held = append(c.lane.held[:i], c.lane.held[i+1:]...)
-			return
-		}
+	if c.held {
+		c.held, c.lane.held = false, without(c.lane.held, c)
 	}
 }
 
@@ -677,17 +674,19 @@
 		return
 	}
 	k := c.key
-	for i, o := range k.line {
-		if o == c {
-			k.line = append(k.line[:i], k.line[i+1:]...)
-			break
-		}
-	}
+	k.line = without(k.line, c)
 	if len(k.line) == 0 && k.rest <= in.host.Now() {
 		delete(in.keys, c.object)
 	}
 }
 
+func without[T comparable](list []T, x T) []T {
+	if i := slices.Index(list, x); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
 func (in *Instance) cellOf(no int) *cell {
 	c := in.cells[no]
 	if c == nil {
--- a/policy/state.go
+++ b/policy/state.go
@@ -67,8 +67,10 @@
 	credit  float64
 	out     int
 	quota   float64 // Q, the latency-set window of all hosts
-	window  int     // this host's part of it
-	full    bool    // the window was reached since the last period
+	of      float64 // this host's part of it
+	window  int
+	sized   time.Duration
+	full    bool // the window was reached since the last period
 	lat     time.Duration
 	sum     time.Duration
 	answers int
