--- a/policy/policy.go
+++ b/policy/policy.go
@@ -69,8 +69,6 @@
 	return in
 }
 
-// ---- the list of bricks
-
 // ListBegins opens a list; in a whole one, what is not named is gone.
 func (in *Instance) ListBegins(whole bool) {
 	in.failures = 0
@@ -126,8 +124,6 @@
 
 func (in *Instance) ask() { in.host.Watch(true) }
 
-// ---- commands
-
 // Taken is a command that this host now owes one final answer.
 func (in *Instance) Taken(c *Command, queue, planName, object string, cellNo, hosts int, units float64,
 	giveUp time.Duration) error {
@@ -460,7 +456,7 @@
 		room = v.limit.level
 	}
 	rank := func(c *Command) (int, time.Duration) {
-		if now+b.lat > c.target {
+		if now+min(b.lat, in.lc) > c.target {
 			return 2, c.taken
 		}
 		if c.object != "" && c.object == b.object && len(c.dispatches) == 0 {
@@ -512,7 +508,7 @@
 				continue
 			}
 			for _, c := range slices.Clone(l.held) {
-				if now+in.least(l.cell) > c.giveUp {
+				if lat := in.least(l.cell); now+lat > c.giveUp || lat > in.lc && now+in.lc > c.target {
 					in.giveUp(c)
 				}
 			}
@@ -655,8 +651,6 @@
 	return parts
 }
 
-// ---- small things
-
 func (in *Instance) hold(c *Command) {
 	c.held = true
 	c.lane.held = append(c.lane.held, c)
