--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 	gamma      = 0.5
 	startQuota = 8.0
 	ceiling    = 32
-	congestion = 0.35 // Lc as a part of the shortest service target
+	congestion = 0.25 // Lc as a part of the shortest service target
 	creditTop  = 10.0
 	creditGain = 0.5 // credit for an answer of work done
 	never      = time.Duration(math.MaxInt64)
