--- a/policy/policy.go
+++ b/policy/policy.go
@@ -456,7 +456,7 @@
 		room = v.limit.level
 	}
 	rank := func(c *Command) (int, time.Duration) {
-		if now+min(b.lat, in.lc) > c.target {
+		if now+min(b.lat, c.queue.target/2) > c.target {
 			return 2, c.taken
 		}
 		if c.object != "" && c.object == b.object && len(c.dispatches) == 0 {
@@ -508,7 +508,7 @@
 				continue
 			}
 			for _, c := range slices.Clone(l.held) {
-				if lat := in.least(l.cell); now+lat > c.giveUp || lat > in.lc && now+in.lc > c.target {
+				if lat := in.least(l.cell); now+lat > c.giveUp || lat > in.lc && now+min(lat, c.queue.target/2) > c.target {
 					in.giveUp(c)
 				}
 			}
