--- a/policy/policy.go
+++ b/policy/policy.go
@@ -213,12 +213,7 @@
 	if c.queue.semantics == retryable || c.queue.semantics == tagged && c.queue.group == "all" {
 		return true
 	}
-	for _, d := range c.dispatches {
-		if d.ran {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(c.dispatches, func(d *Dispatch) bool { return d.ran })
 }
 
 // mayRun guards rules 2, 5 and 7 for a dispatch of c to b.
@@ -320,12 +315,8 @@
 
 // retryWorks tells whether c may still go to any brick that holds its data.
 func (in *Instance) retryWorks(c *Command) bool {
-	for _, b := range in.open(c.cell) {
-		if in.mayRun(c, b, in.host.Now()) {
-			return true
-		}
-	}
-	return false
+	now := in.host.Now()
+	return slices.ContainsFunc(in.open(c.cell), func(b *Brick) bool { return in.mayRun(c, b, now) })
 }
 
 // told takes what an answer says of the volume's service through all hosts.
@@ -409,6 +400,11 @@
 		b.coldLog = append(b.coldLog, spent{now, c.units})
 	}
 	in.host.Dispatch(d, 0)
+	// Many hosts with one place each are too much for a small brick: where less than one command is due to this
+	// host, its one place opens at the due rate only.
+	if due := b.quota * b.of; due < 1 && b.lat > 2*in.lc {
+		b.rest = max(b.rest, now+time.Duration(float64(b.lat)*(1/due-1)))
+	}
 	if b.out >= b.window {
 		b.full = true
 	}
