--- a/policy/policy.go
+++ b/policy/policy.go
@@ -316,7 +316,7 @@
 // retryWorks tells whether c may still go to any brick that holds its data.
 func (in *Instance) retryWorks(c *Command) bool {
 	now := in.host.Now()
-	return slices.ContainsFunc(in.open(c.cell), func(b *Brick) bool { return in.mayRun(c, b, now) })
+	return slices.ContainsFunc(in.at(c.cell), func(b *Brick) bool { return in.mayRun(c, b, now) })
 }
 
 // told takes what an answer says of the volume's service through all hosts.
@@ -339,7 +339,7 @@
 func (in *Instance) serve(l *lane) {
 	for len(l.held) > 0 {
 		var best *Brick
-		for _, b := range in.open(l.cell) {
+		for _, b := range in.at(l.cell) {
 			if free := in.room(b); free > 0 && (best == nil || free > in.room(best)) {
 				best = b
 			}
@@ -517,11 +517,13 @@
 // least is the shortest latency that the bricks of a cell show.
 func (in *Instance) least(cellNo int) time.Duration {
 	lat := never / 4
-	for _, b := range in.open(cellNo) {
-		lat = min(lat, b.lat)
+	for _, b := range in.at(cellNo) {
+		if b.open {
+			lat = min(lat, b.lat)
+		}
 	}
 	if lat == never/4 {
-		return in.lc
+		return 2 * in.lc // none is open: what waits is given up when its service target passes
 	}
 	return lat
 }
@@ -686,8 +688,8 @@
 	return c
 }
 
-// open is the bricks that may take commands of a cell; a new object may go to any.
-func (in *Instance) open(cellNo int) []*Brick {
+// at is the bricks that hold a cell; a new object may go to any.
+func (in *Instance) at(cellNo int) []*Brick {
 	if cellNo < 0 {
 		return in.bricks
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -38,7 +38,7 @@
 	b.run(2000 * ms)
 	// Output:
 	//     0ms log: close a: listed as draining or gone, 0 out
-	//   925ms busy-reply 1, back in 1s
+	//   112ms busy-reply 1, back in 1s
 }
 
 // A brick that just came up gets this host's half of what it always bears, and more as it warms.
@@ -62,8 +62,8 @@
 	//  5000ms log: ramp a: started 0s ago, warm within 10s
 	//  5000ms dispatch 1.0 to a
 	//  5000ms dispatch 2.0 to a
-	//  5925ms busy-reply 3, back in 1s
-	//  5925ms busy-reply 4, back in 1s
+	//  5962ms busy-reply 3, back in 1s
+	//  5962ms busy-reply 4, back in 1s
 	//  6000ms dispatch 5.0 to a
 }
 
@@ -87,6 +87,7 @@
 	for range 4 {
 		b.take("read", "capped", "x", 0, 2)
 	}
+	b.end(Completed, true)
 	b.run(900 * ms)
 	// Output:
 	//     0ms dispatch 1.0 to a
