--- a/policy/policy.go
+++ b/policy/policy.go
@@ -458,7 +458,7 @@
 		if c.object != "" && c.object == b.object && len(c.dispatches) == 0 {
 			return 0, c.target
 		}
-		return 1, c.target
+		return 1, -c.taken
 	}
 	bestRank, bestAt := 3, never
 	for _, c := range l.held {
