--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	congestion = 0.25 // Lc as a part of the shortest service target
 	creditTop  = 10.0
 	creditGain = 0.5 // credit for an answer of work done
+	batchGain  = 2.0 // worth of a command whose piece of data the brick took last: it costs about half
 	never      = time.Duration(math.MaxInt64)
 )
 
@@ -57,6 +58,9 @@
 		shortest = min(shortest, q.ServiceTarget)
 	}
 	in.lc = max(time.Duration(float64(shortest)*congestion), time.Millisecond)
+	for _, q := range in.queues {
+		q.cost = in.lc.Seconds() / in.usual
+	}
 	for _, p := range s.Plans {
 		in.plans[p.Name] = &plan{nominal: p.Nominal, reservation: p.Reservation, limit: p.Limit, depth: p.Depth,
 			slack: p.Slack, weight: math.Max(p.Weight, 0.01), importance: p.Importance}
@@ -279,6 +283,7 @@
 		b.credit = math.Min(b.credit+creditGain, creditTop)
 		b.suspect = false
 		c.Volume.served += c.units
+		c.queue.cost += 0.02 * (took.Seconds()/c.units - c.queue.cost)
 	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
 		b.sum += took
 		b.answers++
@@ -451,26 +456,24 @@
 		v.limit.fill(now)
 		room = v.limit.level
 	}
-	rank := func(c *Command) (int, time.Duration) {
-		if now+min(b.lat, c.queue.target/2) > c.target {
-			return 2, c.taken
-		}
-		if c.object != "" && c.object == b.object && len(c.dispatches) == 0 {
-			return 0, c.target
-		}
-		return 1, -c.taken
-	}
-	bestRank, bestAt := 3, never
+	bestWorth := 0.0
 	for _, c := range l.held {
 		if c.units > cold || !c.charged && c.units > room || c.notBefore > now {
 			continue
 		}
-		r, at := rank(c)
-		if (r < bestRank || r == bestRank && at < bestAt) && in.mayRun(c, b, now) && in.again(c, b, now) {
-			best, bestRank, bestAt = c, r, at
+		worth, tardy := c.queue.importance/c.queue.cost, now+min(b.lat, c.queue.target/2) > c.target
+		if c.object != "" && c.object == b.object && len(c.dispatches) == 0 {
+			worth *= batchGain
+		}
+		if tardy {
+			worth *= c.queue.late
+		}
+		if (best == nil || late && !tardy || late == tardy && worth >= bestWorth) &&
+			in.mayRun(c, b, now) && in.again(c, b, now) {
+			best, bestWorth, late = c, worth, tardy
 		}
 	}
-	return best, bestRank == 2
+	return best, late
 }
 
 // coldRoom is how many units a brick may still take from this host. Guards rule 4: a brick that came up bears
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -91,7 +91,7 @@
 	b.run(900 * ms)
 	// Output:
 	//     0ms dispatch 1.0 to a
-	//   500ms dispatch 2.0 to a
+	//   500ms dispatch 4.0 to a
 }
 
 // The divvy: all demand and an even part of the rest, or by weight between least and most.
--- a/policy/state.go
+++ b/policy/state.go
@@ -113,6 +113,7 @@
 type queueType struct {
 	target, window   time.Duration
 	importance, late float64
+	cost             float64 // seconds a unit, as answers showed
 	semantics        semantics
 	group            string
 	streaming, order bool
