--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -299,7 +299,7 @@
 	c := &policy.Command{ID: id, Volume: v}
 	h.commands[id] = &entry{cmd: c, dispatches: map[int]*policy.Dispatch{}}
 	return h.inst.Taken(c, queue, plan, string(e.GetStringBytes("object")), e.GetInt("group_no"), e.GetInt("n_hosts"),
-		e.GetFloat64("weight"), time.Duration(until)*time.Microsecond)
+		e.GetFloat64("weight"), time.Duration(until)*time.Microsecond, e.GetBool("is_retry"))
 }
 
 func (h *host) reply(e *fastjson.Value) error {
--- a/internal/benchwire/host.go
+++ b/internal/benchwire/host.go
@@ -11,6 +11,9 @@
 	"weirhaven/policy"
 )
 
+var semantics = map[string]policy.Semantics{"repeatable": policy.Retryable, "by_key": policy.Tagged,
+	"once": policy.NonRetryable}
+
 // enlist hands the settings over; a key that this page doesn't read is skipped.
 func (h *host) enlist(e *fastjson.Value) error {
 	seed, err := whole(e, "seed")
@@ -29,6 +32,7 @@
 		Cancel:       p.GetBool("limits", "cancel"),
 		Probe:        p.GetBool("limits", "may_probe"),
 		Peers:        p.GetBool("limits", "peers"),
+		MarksRepeat:  p.GetBool("client_habits", "marks_retry"),
 		MaxDispatch:  p.GetInt("limits", "max_attempts"),
 		AnswerSlack:  micros(p, "contract", "answer_slack_us"),
 		Resolution:   micros(p, "resolution_us"),
@@ -53,6 +57,9 @@
 	}
 	writes := p.GetArray("family_info", "changes_data")
 	for i, c := range p.GetArray("classes") {
+		if _, ok := semantics[string(c.GetStringBytes("semantics"))]; !ok {
+			return fmt.Errorf("class %s: unknown semantics %s", c.Get("name"), c.Get("semantics"))
+		}
 		q := policy.QueueType{
 			Name:           string(c.GetStringBytes("name")),
 			ServiceTarget:  micros(c, "aim_us"),
@@ -60,19 +67,12 @@
 			Window:         micros(c, "window_us"),
 			Importance:     c.GetFloat64("worth"),
 			LateShare:      c.GetFloat64("late_value"),
+			Semantics:      semantics[string(c.GetStringBytes("semantics"))],
 			Group:          string(c.GetStringBytes("group")),
 			Streaming:      c.GetBool("streaming"),
 			InOrder:        c.GetBool("in_order"),
 			Writes:         i < len(writes) && writes[i].Type() == fastjson.TypeTrue,
 		}
-		switch string(c.GetStringBytes("semantics")) {
-		case "repeatable":
-			q.Semantics = "retryable"
-		case "by_key":
-			q.Semantics = "tagged"
-		default:
-			q.Semantics = "non-retryable"
-		}
 		s.QueueTypes = append(s.QueueTypes, q)
 	}
 	for _, c := range p.GetArray("plans") {
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -58,11 +58,11 @@
 		ColdFrom: 0.2, ColdFor: 10 * time.Second, ColdUnits: 8, FallAfter: time.Second, UsualUnits: 2, UnitsTop: 8,
 		DrainGrace: 250 * ms, Meter: 500 * ms, MaxPause: time.Second, KeyRest: 300 * ms,
 		QueueTypes: []QueueType{
-			{Name: "read", ServiceTarget: 200 * ms, CommandTimeout: time.Second, Importance: 1, Semantics: "retryable"},
-			{Name: "tag", ServiceTarget: 200 * ms, CommandTimeout: time.Second, Importance: 1, Semantics: "tagged",
+			{Name: "read", ServiceTarget: 200 * ms, CommandTimeout: time.Second, Importance: 1, Semantics: Retryable},
+			{Name: "tag", ServiceTarget: 200 * ms, CommandTimeout: time.Second, Importance: 1, Semantics: Tagged,
 				Group: "cell", Window: 500 * ms},
-			{Name: "once", ServiceTarget: 200 * ms, CommandTimeout: time.Second, Importance: 1, Semantics: "once"},
-			{Name: "row", ServiceTarget: 500 * ms, CommandTimeout: time.Second, Importance: 1, Semantics: "retryable",
+			{Name: "once", ServiceTarget: 200 * ms, CommandTimeout: time.Second, Importance: 1, Semantics: NonRetryable},
+			{Name: "row", ServiceTarget: 500 * ms, CommandTimeout: time.Second, Importance: 1, Semantics: Retryable,
 				InOrder: true}},
 		Plans: []Plan{{Name: "gold", Nominal: 10, Reservation: 10, Weight: 3, Importance: 1},
 			{Name: "plain", Nominal: 10, Weight: 1, Importance: 1},
@@ -95,7 +95,7 @@
 		b.vols[plan+object] = v
 	}
 	c := &Command{ID: b.ids, Volume: v}
-	if err := b.in.Taken(c, queue, plan, object, cell, 2, units, b.now+time.Second); err != nil {
+	if err := b.in.Taken(c, queue, plan, object, cell, 2, units, b.now+time.Second, false); err != nil {
 		b.say("error: %v", err)
 	}
 	return c
--- a/policy/host.go
+++ b/policy/host.go
@@ -32,6 +32,7 @@
 	Probe        bool
 	Peers        bool
 	MaxPause     time.Duration // longest advice that clients follow, 0: they get none
+	MarksRepeat  bool          // clients mark their repeats
 	MaxDispatch  int
 	AnswerSlack  time.Duration
 	Resolution   time.Duration
@@ -60,7 +61,7 @@
 	Window         time.Duration
 	Importance     float64
 	LateShare      float64
-	Semantics      string // retryable, tagged or non-retryable
+	Semantics      Semantics
 	Group          string // all, zone or cell
 	Streaming      bool
 	InOrder        bool
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,6 +15,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -38,23 +39,15 @@
 func New(h Host, s Settings) *Instance {
 	in := &Instance{host: h, rng: rand.New(rand.NewSource(s.Seed)), hosts: math.Max(1, float64(s.Hosts)),
 		queues: map[string]*queueType{}, plans: map[string]*plan{}, cells: map[int]*cell{}, keys: map[string]*key{},
-		secondCopies: s.SecondCopies, cancels: s.Cancel, advises: s.MaxPause, asks: s.Asks,
+		refused: map[wish][]time.Duration{}, marksRepeat: s.MarksRepeat, cancels: s.Cancel, advises: s.MaxPause,
 		maxDispatches: s.MaxDispatch, budgeted: s.Budgeted, budgetFree: s.BudgetFree, budgetShare: s.BudgetShare,
-		budgetSpan: s.BudgetSpan, keyRest: s.KeyRest, usual: math.Max(s.UsualUnits, 1), meter: s.Meter,
-		askWithin: s.AskWithin, early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter}
+		budgetSpan: s.BudgetSpan, keyRest: s.KeyRest, usual: math.Max(s.UsualUnits, 1), askWithin: s.AskWithin,
+		early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
 	in.coldUnits = s.ColdUnits / in.hosts
-	in.coldGain = 1/math.Max(s.ColdFrom, 0.01) - 1
 	shortest := never
 	for _, q := range s.QueueTypes {
-		t := &queueType{target: q.ServiceTarget, window: q.Window, importance: q.Importance, late: q.LateShare,
-			group: q.Group, streaming: q.Streaming, order: q.InOrder}
-		switch q.Semantics {
-		case "tagged":
-			t.semantics = tagged
-		case "non-retryable":
-			t.semantics = nonRetryable
-		}
-		in.queues[q.Name] = t
+		in.queues[q.Name] = &queueType{target: q.ServiceTarget, timeout: q.CommandTimeout, window: q.Window,
+			importance: q.Importance, late: q.LateShare, semantics: q.Semantics, group: q.Group, order: q.InOrder}
 		shortest = min(shortest, q.ServiceTarget)
 	}
 	in.lc = max(time.Duration(float64(shortest)*congestion), time.Millisecond)
@@ -63,10 +56,10 @@
 	}
 	for _, p := range s.Plans {
 		in.plans[p.Name] = &plan{nominal: p.Nominal, reservation: p.Reservation, limit: p.Limit, depth: p.Depth,
-			slack: p.Slack, weight: math.Max(p.Weight, 0.01), importance: p.Importance}
+			slack: p.Slack, weight: math.Max(p.Weight, 0.01)}
 	}
-	if in.asks {
-		h.After(time.Duration(in.rng.Int63n(int64(period)/4)), in.ask)
+	if s.Asks {
+		h.After(time.Duration(in.rng.Int63n(int64(period)/4)), func() { in.host.Watch(true) })
 	}
 	h.After(period, in.turn)
 	h.After(in.lc/4, in.sweep)
@@ -112,8 +105,6 @@
 			b.open = false
 			in.log("close %s: gone from the list, %d out", b.Name, b.out)
 		}
-	}
-	for _, b := range in.bricks {
 		in.fill(b)
 	}
 }
@@ -123,20 +114,17 @@
 	in.failures++
 	wait := min(period<<min(in.failures, 3), in.askWithin/2)
 	in.log("list failed %d times, asking within %v", in.failures, wait)
-	in.host.After(wait/2+time.Duration(in.rng.Int63n(int64(wait/2)+1)), in.ask)
+	in.host.After(wait/2+time.Duration(in.rng.Int63n(int64(wait/2)+1)), func() { in.host.Watch(true) })
 }
 
-func (in *Instance) ask() { in.host.Watch(true) }
-
 // Taken is a command that this host now owes one final answer.
 func (in *Instance) Taken(c *Command, queue, planName, object string, cellNo, hosts int, units float64,
-	giveUp time.Duration) error {
+	giveUp time.Duration, repeat bool) error {
 	now := in.host.Now()
 	if in.queues[queue] == nil || in.plans[planName] == nil {
 		return fmt.Errorf("unknown queue type %q or plan %q", queue, planName)
 	}
 	c.queue, c.object, c.cell, c.units, c.taken, c.giveUp = in.queues[queue], object, cellNo, units, now, giveUp
-	c.target = min(now+c.queue.target, giveUp)
 	in.taken = append(in.taken, now)
 	v := c.Volume
 	if v.plan == nil {
@@ -145,21 +133,26 @@
 		v.reserve = v.plan.reservation / v.hosts
 		// A host that restarts can't know what it spent, so its part of the store starts empty but for its part of
 		// the slack; guards rule 7 against hosts killed in a surge. It costs a little right after the first start.
-		v.limit = bucket{level: v.plan.slack / v.hosts, rate: v.plan.limit / v.hosts, depth: v.plan.depth / v.hosts, at: now}
+		v.limit = bucket{v.plan.slack / v.hosts, v.plan.limit / v.hosts, v.plan.depth / v.hosts, now}
 		in.volumes = append(in.volumes, v)
 	}
+	c.first = in.firstTry(c, repeat)
+	c.target = min(c.first+c.queue.target, giveUp)
 	c.lane = in.laneOf(v, cellNo)
 	if c.queue.order && object != "" {
-		k := in.keys[object]
-		if k == nil {
-			k = &key{}
-			in.keys[object] = k
+		if in.keys[object] == nil {
+			in.keys[object] = &key{}
 		}
-		k.line, c.key = append(k.line, c), k
+		c.key = in.keys[object]
+		c.key.line = append(c.key.line, c)
 	}
 	c.lane.count(now, c.units)
 	in.hold(c)
-	in.host.After(giveUp-in.early-now, func() { in.expire(c) })
+	in.host.After(giveUp-in.early-now, func() { // set at once, so that the command timeout can't be missed
+		if !c.over && !c.streaming {
+			in.giveUp(c)
+		}
+	})
 	in.serve(c.lane)
 	return nil
 }
@@ -167,9 +160,14 @@
 // Begun tells that the answer has begun to stream: the command is the client's.
 func (in *Instance) Begun(d *Dispatch) {
 	d.Cmd.streaming = true
-	for _, o := range d.Cmd.dispatches {
-		if o != d && !o.over && in.cancels {
-			in.host.Cancel(o)
+	in.callOff(d.Cmd, d)
+}
+
+// callOff stops waiting for all dispatches of c but one.
+func (in *Instance) callOff(c *Command, but *Dispatch) {
+	for _, d := range c.dispatches {
+		if d != but && !d.over && in.cancels {
+			in.host.Cancel(d)
 		}
 	}
 }
@@ -181,15 +179,25 @@
 	}
 }
 
-// expire ends a command just before its command timeout; set when it is taken, so that it can't be missed.
-func (in *Instance) expire(c *Command) {
-	if !c.over && !c.streaming {
-		in.giveUp(c)
+// firstTry is when the client first asked. Its repeat of what this host gave up on counts from there, so it must not
+// go ahead of what can still be in time. Guards against storms of repeats; a client that asks for the same piece of
+// data anew, in the same size, may be taken for one.
+func (in *Instance) firstTry(c *Command, repeat bool) time.Duration {
+	w := wish{c.Volume, c.queue, c.object, c.units}
+	tries := in.refused[w]
+	if len(tries) == 0 || in.marksRepeat && !repeat {
+		return c.taken
 	}
+	if in.refused[w] = tries[1:]; len(tries) == 1 {
+		delete(in.refused, w)
+	}
+	return tries[0]
 }
 
 // giveUp gives the final answer at once.
 func (in *Instance) giveUp(c *Command) {
+	w := wish{c.Volume, c.queue, c.object, c.units}
+	in.refused[w] = append(in.refused[w], c.first)
 	busy := in.mayRefuse(c)
 	in.finish(c)
 	if busy {
@@ -204,17 +212,15 @@
 	c.over = true
 	in.unhold(c)
 	c.lane.count(in.host.Now(), -c.units)
-	for _, d := range c.dispatches {
-		if !d.over && in.cancels && !c.streaming {
-			in.host.Cancel(d)
-		}
+	if !c.streaming {
+		in.callOff(c, nil)
 	}
 	in.leaveLine(c)
 }
 
 // mayRefuse guards rule 2: a busy reply says that trying again is harmless.
 func (in *Instance) mayRefuse(c *Command) bool {
-	if c.queue.semantics == retryable || c.queue.semantics == tagged && c.queue.group == "all" {
+	if c.queue.semantics == Retryable || c.queue.semantics == Tagged && c.queue.group == "all" {
 		return true
 	}
 	return !slices.ContainsFunc(c.dispatches, func(d *Dispatch) bool { return d.ran })
@@ -230,9 +236,9 @@
 			continue
 		}
 		switch c.queue.semantics {
-		case nonRetryable:
+		case NonRetryable:
 			return false
-		case tagged:
+		case Tagged:
 			if now >= d.sent+c.queue.window || c.queue.group == "zone" && b.zone != d.Brick.zone ||
 				c.queue.group == "cell" && b.cell != d.Brick.cell {
 				return false
@@ -307,7 +313,8 @@
 	case last:
 		in.finish(c)
 	case c.out > 0:
-	case now >= c.giveUp-in.early || len(c.dispatches) >= in.maxDispatches || !in.retryWorks(c):
+	case now >= c.giveUp-in.early || len(c.dispatches) >= in.maxDispatches ||
+		!slices.ContainsFunc(in.at(c.cell), func(b *Brick) bool { return in.mayRun(c, b, now) }):
 		in.giveUp(c)
 	default:
 		in.hold(c)
@@ -318,12 +325,6 @@
 	}
 }
 
-// retryWorks tells whether c may still go to any brick that holds its data.
-func (in *Instance) retryWorks(c *Command) bool {
-	now := in.host.Now()
-	return slices.ContainsFunc(in.at(c.cell), func(b *Brick) bool { return in.mayRun(c, b, now) })
-}
-
 // told takes what an answer says of the volume's service through all hosts.
 func (in *Instance) told(c *Command, elsewhere, metered float64) {
 	v := c.Volume
@@ -435,7 +436,8 @@
 		if isDue {
 			tag = max(v.rTag, now-period).Seconds()
 		}
-		if best == nil || bestLate && !late || late == bestLate && (isDue && !due || isDue == due && tag < bestTag) {
+		if best == nil || bestLate && !late ||
+			late == bestLate && (isDue && !due || isDue == due && tag < bestTag) {
 			best, due, bestLate, bestTag = c, isDue, late, tag
 		}
 	}
@@ -450,15 +452,12 @@
 
 // next is the command of a lane that leaves first, and whether it will miss its service target.
 func (in *Instance) next(l *lane, b *Brick, now time.Duration, cold float64) (best *Command, late bool) {
-	v := l.vol
-	room := math.Inf(1)
-	if v.plan.limit > 0 {
-		v.limit.fill(now)
-		room = v.limit.level
+	bestWorth, room := 0.0, math.Inf(1)
+	if l.vol.plan.limit > 0 {
+		room = l.vol.limit.fill(now)
 	}
-	bestWorth := 0.0
 	for _, c := range l.held {
-		if c.units > cold || !c.charged && c.units > room || c.notBefore > now {
+		if c.units > cold || !c.charged && c.units > room {
 			continue
 		}
 		worth, tardy := c.queue.importance/c.queue.cost, now+min(b.lat, c.queue.target/2) > c.target
@@ -507,7 +506,8 @@
 				continue
 			}
 			for _, c := range slices.Clone(l.held) {
-				if lat := in.least(l.cell); now+lat > c.giveUp || lat > in.lc && now+min(lat, c.queue.target/2) > c.target {
+				lat := in.least(l.cell)
+				if now+lat > c.giveUp || lat > in.lc && now+min(lat, c.queue.target/2) > c.target {
 					in.giveUp(c)
 				}
 			}
@@ -519,14 +519,14 @@
 
 // least is the shortest latency that the bricks of a cell show.
 func (in *Instance) least(cellNo int) time.Duration {
-	lat := never / 4
+	lat := never
 	for _, b := range in.at(cellNo) {
 		if b.open {
 			lat = min(lat, b.lat)
 		}
 	}
-	if lat == never/4 {
-		return 2 * in.lc // none is open: what waits is given up when its service target passes
+	if lat == never {
+		lat = 2 * in.lc // none is open: what waits is given up when its service target passes
 	}
 	return lat
 }
@@ -537,6 +537,9 @@
 	for _, v := range in.volumes {
 		in.demand(v, now)
 	}
+	maps.DeleteFunc(in.refused, func(w wish, tries []time.Duration) bool {
+		return now-tries[len(tries)-1] > w.queue.timeout+in.advises+period
+	})
 	for _, b := range in.bricks {
 		in.entitle(b)
 		in.fill(b)
@@ -614,10 +617,7 @@
 			mine += p.got * lanes[i].demand / p.most
 		}
 	}
-	b.of = 1 / in.hosts
-	if sum > 0 {
-		b.of = math.Max(b.of, mine/sum)
-	}
+	b.of = math.Max(1/in.hosts, mine/math.Max(sum, 1e-9))
 	b.window = part(b.quota, b.of)
 }
 
@@ -683,12 +683,10 @@
 }
 
 func (in *Instance) cellOf(no int) *cell {
-	c := in.cells[no]
-	if c == nil {
-		c = &cell{}
-		in.cells[no] = c
+	if in.cells[no] == nil {
+		in.cells[no] = &cell{}
 	}
-	return c
+	return in.cells[no]
 }
 
 // at is the bricks that hold a cell; a new object may go to any.
@@ -719,9 +717,9 @@
 	l.units += units
 }
 
-func (k *bucket) fill(now time.Duration) {
-	k.level = math.Min(k.level+k.rate*(now-k.at).Seconds(), k.depth)
-	k.at = now
+func (k *bucket) fill(now time.Duration) float64 {
+	k.level, k.at = math.Min(k.level+k.rate*(now-k.at).Seconds(), k.depth), now
+	return k.level
 }
 
 func (in *Instance) log(format string, args ...any) { in.host.Log(fmt.Sprintf(format, args...)) }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -15,9 +15,7 @@
 
 // A non-retryable command that may have run is neither sent again nor busy-replied; one that never ran is.
 func Example_nonRetryable() {
-	s := setting()
-	s.QueueTypes[2].Semantics = "non-retryable"
-	b := start(s, "a")
+	b := start(setting(), "a")
 	b.take("once", "plain", "x", 0, 2)
 	b.end(Unconnected, false)
 	b.end(Errored, false)
@@ -94,6 +92,28 @@
 	//   500ms dispatch 4.0 to a
 }
 
+// A client's repeat of what was given up keeps the first try's target: it yields to what can be in time.
+func Example_repeat() {
+	b := start(setting(), "a")
+	b.in.ListBegins(false)
+	b.list("a", 0, false, 0)
+	b.take("read", "plain", "x", 0, 2)
+	b.run(200 * ms)
+	b.list("a", 0, true, 0)
+	b.in.bricks[0].suspect = true
+	b.take("read", "plain", "x", 0, 4)
+	b.take("read", "plain", "x", 0, 3)
+	b.take("read", "plain", "x", 0, 2)
+	b.end(Unsent, true)
+	b.end(Completed, true)
+	// Output:
+	//     0ms log: close a: listed as draining or gone, 0 out
+	//   112ms busy-reply 1, back in 1s
+	//   200ms dispatch 2.0 to a
+	//   200ms dispatch 3.0 to a
+	//   200ms dispatch 4.0 to a
+}
+
 // The divvy: all demand and an even part of the rest, or by weight between least and most.
 func Example_divvy() {
 	show := func(amount float64, parts ...share) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,7 +42,7 @@
 	taken      time.Duration
 	target     time.Duration // when the service target passes
 	giveUp     time.Duration // when the command timeout passes
-	notBefore  time.Duration
+	first      time.Duration // when the client first asked
 	lane       *lane
 	dispatches []*Dispatch
 	out        int
@@ -111,24 +111,26 @@
 }
 
 type queueType struct {
-	target, window   time.Duration
+	target, timeout  time.Duration
+	window           time.Duration
 	importance, late float64
 	cost             float64 // seconds a unit, as answers showed
-	semantics        semantics
+	semantics        Semantics
 	group            string
-	streaming, order bool
+	order            bool
 }
 
-type semantics int
+// Semantics tells whether a command may run again.
+type Semantics int
 
 const (
-	retryable semantics = iota
-	tagged
-	nonRetryable
+	Retryable    Semantics = iota
+	Tagged                 // it carries a mark by which a repeat is known
+	NonRetryable           // it must never run twice
 )
 
 type plan struct {
-	nominal, reservation, limit, depth, slack, weight, importance float64
+	nominal, reservation, limit, depth, slack, weight float64
 }
 
 type bucket struct {
@@ -136,6 +138,14 @@
 	at                 time.Duration
 }
 
+// wish is what a client's repeat has in common with its first try.
+type wish struct {
+	volume *Volume
+	queue  *queueType
+	object string
+	units  float64
+}
+
 type spent struct {
 	at    time.Duration
 	units float64
@@ -161,10 +171,8 @@
 	plans          map[string]*plan
 	lc             time.Duration
 	early          time.Duration
-	secondCopies   bool
 	cancels        bool
 	advises        time.Duration
-	asks           bool
 	maxDispatches  int
 	coldUnits      float64 // what a brick just started bears from this host within coldSpan
 	coldSpan       time.Duration
@@ -176,7 +184,6 @@
 	budgetSpan     time.Duration
 	keyRest        time.Duration
 	usual          float64
-	meter          time.Duration
 	askWithin      time.Duration
 	volumes        []*Volume
 	bricks         []*Brick
@@ -184,6 +191,8 @@
 	keys           map[string]*key
 	further, taken []time.Duration
 	failures       int
+	refused        map[wish][]time.Duration // first tries of what was given up
+	marksRepeat    bool
 }
 
 type cell struct {
