--- a/policy/policy.go
+++ b/policy/policy.go
@@ -80,8 +80,7 @@
 func (in *Instance) Listed(b *Brick, zone string, cellNo int, serving, gone bool, boot time.Duration) {
 	if b.quota == 0 {
 		b.quota, b.of, b.credit, b.lat = startQuota, 1/in.hosts, creditTop/2, in.lc
-		b.window = part(b.quota, b.of)
-		b.cell = cellNo
+		b.window, b.cell = part(b.quota, b.of), cellNo
 		in.bricks = append(in.bricks, b)
 		c := in.cellOf(cellNo)
 		c.bricks = append(c.bricks, b)
@@ -209,8 +208,8 @@
 
 // finish ends what the host does for a command.
 func (in *Instance) finish(c *Command) {
-	c.over = true
 	in.unhold(c)
+	c.over = true
 	c.lane.count(in.host.Now(), -c.units)
 	if !c.streaming {
 		in.callOff(c, nil)
@@ -290,6 +289,10 @@
 		b.suspect = false
 		c.Volume.served += c.units
 		c.queue.cost += 0.02 * (took.Seconds()/c.units - c.queue.cost)
+	case Errored: // one that comes at once held no place: trying again costs little; slow ones earn nothing
+		if took < in.lc {
+			b.credit = math.Min(b.credit+1, creditTop)
+		}
 	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
 		b.sum += took
 		b.answers++
@@ -400,8 +403,7 @@
 	c.dispatches = append(c.dispatches, d)
 	c.out++
 	b.out++
-	b.flying = append(b.flying, d)
-	b.object = c.object
+	b.flying, b.object = append(b.flying, d), c.object
 	if in.coldFor > now-b.boot && b.boot > 0 {
 		b.coldLog = append(b.coldLog, spent{now, c.units})
 	}
@@ -554,8 +556,7 @@
 	v.served = 0
 	for _, l := range v.lanes {
 		l.count(now, 0)
-		l.demand = l.area / period.Seconds() / in.lc.Seconds()
-		l.area = 0
+		l.demand, l.area = l.area/period.Seconds()/in.lc.Seconds(), 0
 		mine += l.demand
 	}
 	for _, l := range v.lanes {
@@ -590,8 +591,7 @@
 			b.quota = math.Min(math.Max((1-gamma)*b.quota+gamma*ratio*b.quota, 1), ceiling)
 		}
 	}
-	b.sum, b.answers, b.sized = 0, 0, now
-	b.window = part(b.quota, b.of)
+	b.sum, b.answers, b.sized, b.window = 0, 0, now, part(b.quota, b.of)
 	b.full = b.out >= b.window
 }
 
