--- a/internal/benchwire/host.go
+++ b/internal/benchwire/host.go
@@ -41,6 +41,7 @@
 		ColdFrom:     p.GetFloat64("contract", "cold_from"),
 		ColdFor:      micros(p, "contract", "cold_us"),
 		ColdUnits:    p.GetFloat64("family_info", "cold_units"),
+		FallMultiple: p.GetFloat64("contract", "fall_multiple"),
 		FallAfter:    micros(p, "contract", "overload_for_us"),
 		Budgeted:     p.Exists("contract", "resend_ratio") || p.Exists("contract", "free_resends"),
 		BudgetFree:   p.GetFloat64("contract", "free_resends"),
--- a/policy/host.go
+++ b/policy/host.go
@@ -41,6 +41,7 @@
 	ColdFrom     float64
 	ColdFor      time.Duration
 	ColdUnits    float64
+	FallMultiple float64
 	FallAfter    time.Duration
 	Budgeted     bool
 	BudgetFree   float64
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,7 @@
 		maxDispatches: s.MaxDispatch, budgeted: s.Budgeted, budgetFree: s.BudgetFree, budgetShare: s.BudgetShare,
 		budgetSpan: s.BudgetSpan, keyRest: s.KeyRest, usual: math.Max(s.UsualUnits, 1), askWithin: s.AskWithin,
 		early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
-	in.coldUnits = s.ColdUnits / in.hosts
+	in.coldUnits = s.ColdUnits / in.hosts * math.Max(s.FallMultiple-1, 0) / math.Max(s.FallMultiple, 1)
 	shortest := never
 	for _, q := range s.QueueTypes {
 		in.queues[q.Name] = &queueType{target: q.ServiceTarget, timeout: q.CommandTimeout, window: q.Window,
@@ -282,6 +282,7 @@
 	// Only answers of work done feed Lat: fast failures would widen a dying brick's window.
 	switch how {
 	case Completed:
+		d.done = true
 		b.sum += took
 		b.answers++
 		b.lat += time.Duration(0.1 * float64(took-b.lat))
@@ -405,11 +406,10 @@
 	b.out++
 	b.flying, b.object = append(b.flying, d), c.object
 	if in.coldFor > now-b.boot && b.boot > 0 {
-		b.coldLog = append(b.coldLog, spent{now, c.units})
+		b.coldLog = append(b.coldLog, d)
 	}
 	in.host.Dispatch(d, 0)
-	// Many hosts with one place each are too much for a small brick: where less than one command is due to this
-	// host, its one place opens at the due rate only.
+	// Guards against many hosts with one place each: where less is due to this one, its place opens at the due rate.
 	if due := b.quota * b.of; due < 1 && b.lat > 2*in.lc {
 		b.rest = max(b.rest, now+time.Duration(float64(b.lat)*(1/due-1)))
 	}
@@ -477,19 +477,21 @@
 	return best, late
 }
 
-// coldRoom is how many units a brick may still take from this host. Guards rule 4: a brick that came up bears
-// cold_units a span from all hosts together, and more as it warms; this host takes its part of that.
+// coldRoom is how many units a brick may still take from this host. Guards rule 4: what a brick is sent within a
+// span is what it did (at most capacity x span) and what was out or came to nothing, which is kept to this host's
+// part of the units that a cold brick always bears, x (multiple-1)/multiple, more as it warms. It hurts strong bricks.
 func (in *Instance) coldRoom(b *Brick, now time.Duration) float64 {
 	age := now - b.boot
 	if b.boot == 0 || age >= in.coldFor {
 		b.coldLog = nil
 		return math.Inf(1)
 	}
+	b.coldLog = slices.DeleteFunc(b.coldLog, func(d *Dispatch) bool {
+		return d.over && (d.done || d.sent <= now-in.coldSpan)
+	})
 	room := in.coldUnits * (1 + in.coldGain*age.Seconds()/in.coldFor.Seconds())
-	for ; len(b.coldLog) > 0 && b.coldLog[0].at <= now-in.coldSpan; b.coldLog = b.coldLog[1:] {
-	}
-	for _, s := range b.coldLog {
-		room -= s.units
+	for _, d := range b.coldLog {
+		room -= d.Cmd.units
 	}
 	return room
 }
@@ -552,8 +554,7 @@
 // demand sets a volume's demand by Little's law and its part of the reservation.
 func (in *Instance) demand(v *Volume, now time.Duration) {
 	mine, other := 0.0, 0.0
-	v.rate += 0.5 * (v.served/period.Seconds() - v.rate)
-	v.served = 0
+	v.rate, v.served = v.rate+0.5*(v.served/period.Seconds()-v.rate), 0
 	for _, l := range v.lanes {
 		l.count(now, 0)
 		l.demand, l.area = l.area/period.Seconds()/in.lc.Seconds(), 0
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,6 +21,7 @@
 
 // Dispatch is one try of a command at a brick.
 type Dispatch struct {
+	done  bool // completed
 	Cmd   *Command
 	Brick *Brick
 	N     int
@@ -76,8 +77,8 @@
 	answers int
 	flying  []*Dispatch
 	vtime   float64
-	coldLog []spent // while it is cold
-	object  string  // of the last dispatch
+	coldLog []*Dispatch // while it is cold: out, or come to nothing within a span
+	object  string      // of the last dispatch
 }
 
 // Volume is one volume with its plan, as this host knows it.
@@ -146,11 +147,6 @@
 	units  float64
 }
 
-type spent struct {
-	at    time.Duration
-	units float64
-}
-
 // share is one part of a divvy.
 type share struct {
 	least, most, weight, got float64
