--- a/policy/policy.go
+++ b/policy/policy.go
@@ -200,7 +200,7 @@
 	busy := in.mayRefuse(c)
 	in.finish(c)
 	if busy {
-		in.host.BusyReply(c, in.advises)
+		in.host.BusyReply(c, min(in.least(c.cell), in.advises))
 	} else {
 		in.host.Abort(c)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -10,7 +10,7 @@
 	// Output:
 	//     0ms dispatch 1.0 to a
 	//   996ms cancel 1.0
-	//   996ms busy-reply 1, back in 1s
+	//   996ms busy-reply 1, back in 50ms
 }
 
 // A non-retryable command that may have run is neither sent again nor busy-replied; one that never ran is.
@@ -36,7 +36,7 @@
 	b.run(2000 * ms)
 	// Output:
 	//     0ms log: close a: listed as draining or gone, 0 out
-	//   112ms busy-reply 1, back in 1s
+	//   112ms busy-reply 1, back in 100ms
 }
 
 // A brick that just came up holds no more than this host's part of a quarter of what it always bears (2 units at
@@ -58,7 +58,7 @@
 	//  5000ms log: ramp a: started 0s ago, warm within 10s
 	//  5000ms dispatch 1.0 to a
 	//  5020ms dispatch 3.0 to a
-	//  5962ms busy-reply 2, back in 1s
+	//  5962ms busy-reply 2, back in 47ms
 	//  6025ms dispatch 4.0 to a
 }
 
@@ -105,7 +105,7 @@
 	b.end(Completed, true)
 	// Output:
 	//     0ms log: close a: listed as draining or gone, 0 out
-	//   112ms busy-reply 1, back in 1s
+	//   112ms busy-reply 1, back in 100ms
 	//   200ms dispatch 2.0 to a
 	//   200ms dispatch 3.0 to a
 	//   200ms dispatch 4.0 to a
