--- a/policy/policy.go
+++ b/policy/policy.go
@@ -174,6 +174,7 @@
 // Left tells that the client has gone; nothing is owed.
 func (in *Instance) Left(c *Command) {
 	if !c.over {
+		in.refused[c.wish] = append(in.refused[c.wish], c.first)
 		in.finish(c)
 	}
 }
@@ -182,21 +183,20 @@
 // go ahead of what can still be in time. Guards against storms of repeats; a client that asks for the same piece of
 // data anew, in the same size, may be taken for one.
 func (in *Instance) firstTry(c *Command, repeat bool) time.Duration {
-	w := wish{c.Volume, c.queue, c.object, c.units}
-	tries := in.refused[w]
+	c.wish = wish{c.Volume, c.queue, c.object, c.units}
+	tries := in.refused[c.wish]
 	if len(tries) == 0 || in.marksRepeat && !repeat {
 		return c.taken
 	}
-	if in.refused[w] = tries[1:]; len(tries) == 1 {
-		delete(in.refused, w)
+	if in.refused[c.wish] = tries[1:]; len(tries) == 1 {
+		delete(in.refused, c.wish)
 	}
 	return tries[0]
 }
 
 // giveUp gives the final answer at once.
 func (in *Instance) giveUp(c *Command) {
-	w := wish{c.Volume, c.queue, c.object, c.units}
-	in.refused[w] = append(in.refused[w], c.first)
+	in.refused[c.wish] = append(in.refused[c.wish], c.first)
 	busy := in.mayRefuse(c)
 	in.finish(c)
 	if busy {
--- a/policy/state.go
+++ b/policy/state.go
@@ -45,6 +45,7 @@
 	giveUp     time.Duration // when the command timeout passes
 	first      time.Duration // when the client first asked
 	lane       *lane
+	wish       wish
 	dispatches []*Dispatch
 	out        int
 	held, over bool
