--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 		budgetSpan: s.BudgetSpan, keyRest: s.KeyRest, usual: math.Max(s.UsualUnits, 1), askWithin: s.AskWithin,
 		early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
 	in.coldUnits = s.ColdUnits / in.hosts * math.Max(s.FallMultiple-1, 0) / math.Max(s.FallMultiple, 1)
+	in.coldProof = math.Max(s.FallMultiple-1, 0) / 2
 	shortest := never
 	for _, q := range s.QueueTypes {
 		in.queues[q.Name] = &queueType{target: q.ServiceTarget, timeout: q.CommandTimeout, window: q.Window,
@@ -124,20 +125,20 @@
 		return fmt.Errorf("unknown queue type %q or plan %q", queue, planName)
 	}
 	c.queue, c.object, c.cell, c.units, c.taken, c.giveUp = in.queues[queue], object, cellNo, units, now, giveUp
-	in.taken = append(in.taken, now)
+	if in.budgeted {
+		in.taken = append(in.taken, now)
+	}
 	v := c.Volume
 	if v.plan == nil {
-		v.plan = in.plans[planName]
-		v.hosts = math.Max(1, float64(hosts))
+		v.plan, v.hosts = in.plans[planName], math.Max(1, float64(hosts))
 		v.reserve = v.plan.reservation / v.hosts
 		// A host that restarts can't know what it spent, so its part of the store starts empty but for its part of
 		// the slack; guards rule 7 against hosts killed in a surge. It costs a little right after the first start.
 		v.limit = bucket{v.plan.slack / v.hosts, v.plan.limit / v.hosts, v.plan.depth / v.hosts, now}
 		in.volumes = append(in.volumes, v)
 	}
-	c.first = in.firstTry(c, repeat)
+	c.first, c.lane = in.firstTry(c, repeat), in.laneOf(v, cellNo)
 	c.target = min(c.first+c.queue.target, giveUp)
-	c.lane = in.laneOf(v, cellNo)
 	if c.queue.order && object != "" {
 		if in.keys[object] == nil {
 			in.keys[object] = &key{}
@@ -424,31 +425,23 @@
 	cold := in.coldRoom(b, now)
 	var bestLate bool
 	var bestTag float64
-	look := func(l *lane) {
-		if len(l.held) == 0 {
-			return
-		}
-		c, late := in.next(l, b, now, cold)
-		if c == nil {
-			return
-		}
-		v := l.vol
-		isDue := !late && v.reserve > 0 && max(v.rTag, now-period) <= now
-		tag := math.Max(l.wTag, b.vtime)
-		if isDue {
-			tag = max(v.rTag, now-period).Seconds()
-		}
-		if best == nil || bestLate && !late ||
-			late == bestLate && (isDue && !due || isDue == due && tag < bestTag) {
-			best, due, bestLate, bestTag = c, isDue, late, tag
+	for _, no := range [2]int{b.cell, -1} {
+		for _, l := range in.cellOf(no).lanes {
+			c, late := in.next(l, b, now, cold)
+			if c == nil {
+				continue
+			}
+			isDue := !late && l.vol.reserve > 0 && l.vol.rTag <= now
+			tag := math.Max(l.wTag, b.vtime)
+			if isDue {
+				tag = max(l.vol.rTag, now-period).Seconds()
+			}
+			if best == nil || bestLate && !late ||
+				late == bestLate && (isDue && !due || isDue == due && tag < bestTag) {
+				best, due, bestLate, bestTag = c, isDue, late, tag
+			}
 		}
 	}
-	for _, l := range in.cellOf(b.cell).lanes {
-		look(l)
-	}
-	for _, l := range in.cellOf(-1).lanes {
-		look(l)
-	}
 	return best, due
 }
 
@@ -479,7 +472,7 @@
 
 // coldRoom is how many units a brick may still take from this host. Guards rule 4: what a brick is sent within a
 // span is what it did (at most capacity x span) and what was out or came to nothing, which is kept to this host's
-// part of the units that a cold brick always bears, x (multiple-1)/multiple, more as it warms. It hurts strong bricks.
+// part of the units that it always bears x (multiple-1)/multiple, more as it warms, or to half of what it did.
 func (in *Instance) coldRoom(b *Brick, now time.Duration) float64 {
 	age := now - b.boot
 	if b.boot == 0 || age >= in.coldFor {
@@ -487,13 +480,17 @@
 		return math.Inf(1)
 	}
 	b.coldLog = slices.DeleteFunc(b.coldLog, func(d *Dispatch) bool {
-		return d.over && (d.done || d.sent <= now-in.coldSpan)
+		return d.over && d.sent <= now-in.coldSpan
 	})
-	room := in.coldUnits * (1 + in.coldGain*age.Seconds()/in.coldFor.Seconds())
+	out, done := 0.0, 0.0
 	for _, d := range b.coldLog {
-		room -= d.Cmd.units
+		if d.done {
+			done += d.Cmd.units
+		} else {
+			out += d.Cmd.units
+		}
 	}
-	return room
+	return math.Max(in.coldUnits*(1+in.coldGain*age.Seconds()/in.coldFor.Seconds()), in.coldProof*done) - out
 }
 
 // sweep ends what can't be answered in time any more and wakes lanes that waited for a rate.
--- a/policy/state.go
+++ b/policy/state.go
@@ -174,6 +174,7 @@
 	coldUnits      float64 // what a brick just started bears from this host within coldSpan
 	coldSpan       time.Duration
 	coldGain       float64
+	coldProof      float64 // units out for a unit done within coldSpan
 	coldFor        time.Duration
 	budgeted       bool
 	budgetFree     float64
