--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,7 +10,7 @@
 //  3. yielding: what misses its service target goes only where nothing else waits (next)
 //  4. line: new objects wait at the host, a brick with a free place takes the next (pick)
 //  5. batching: a command for the piece of data that its brick took last goes first in its volume (next)
-//  6. suspicion: a brick that can't be reached gets one command at a time (room)
+//  6. suspicion: a full or unreachable brick rests, longer each time, then gets one command at a time (Ended)
 package policy
 
 import (
@@ -87,7 +87,7 @@
 		c.bricks = append(c.bricks, b)
 	}
 	if boot > b.boot {
-		b.boot, b.suspect = boot, false
+		b.boot, b.strikes, b.rest = boot, 0, 0
 		if in.coldFor > in.host.Now()-boot {
 			in.log("ramp %s: started %v ago, warm within %v", b.Name, in.host.Now()-boot, in.coldFor)
 		}
@@ -288,7 +288,7 @@
 		b.answers++
 		b.lat += time.Duration(0.1 * float64(took-b.lat))
 		b.credit = math.Min(b.credit+creditGain, creditTop)
-		b.suspect = false
+		b.strikes = 0
 		c.Volume.served += c.units
 		c.queue.cost += 0.02 * (took.Seconds()/c.units - c.queue.cost)
 	case Errored: // one that comes at once held no place: trying again costs little; slow ones earn nothing
@@ -298,16 +298,16 @@
 	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
 		b.sum += took
 		b.answers++
-	case Turned: // guards against a full brick that looks free since it answers fast: rest, then one at a time
-		if b.rest < now {
-			b.quota = math.Max(b.quota/2, 1)
-			b.rest, b.suspect = now+in.lc, true
-		}
-	case Unconnected, Broken:
-		if !b.suspect {
-			in.log("suspect %s: not reached after %v, %d out", b.Name, took, b.out)
+	case Turned, Unconnected, Broken:
+		// Guards against a full or dead brick that looks free since it answers fast: it rests, twice as long each
+		// time up to a period, then gets one at a time. It hurts one that is back before the list says so.
+		if b.rest <= now {
+			if b.strikes == 0 {
+				in.log("suspect %s: full or not reached after %v, %d out", b.Name, took, b.out)
+			}
+			b.strikes++
+			b.quota, b.rest = math.Max(b.quota/2, 1), now+min(in.lc<<min(b.strikes-1, 8), period)
 		}
-		b.suspect = true
 	}
 	if how == Completed || how == Errored {
 		in.told(c, elsewhere, metered)
@@ -366,7 +366,7 @@
 	if !b.open || in.host.Now() < b.rest {
 		return 0
 	}
-	if b.suspect {
+	if b.strikes > 0 {
 		return 1 - b.out
 	}
 	return b.window - b.out
--- a/policy/state.go
+++ b/policy/state.go
@@ -64,7 +64,7 @@
 	boot    time.Duration
 	open    bool
 	listed  bool
-	suspect bool
+	strikes int           // times in a row that it was full or not reached
 	rest    time.Duration // nothing goes before
 	credit  float64
 	out     int
