--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -290,7 +290,22 @@
 	if err != nil {
 		return err
 	}
-	owner, plan := string(e.GetStringBytes("owner")), string(e.GetStringBytes("grade"))
+	plan, err := text(e, "grade")
+	if err != nil {
+		return err
+	}
+	owner, err := text(e, "owner")
+	if err != nil {
+		return err
+	}
+	cell, err := whole(e, "group_no")
+	if err != nil {
+		return err
+	}
+	units := e.GetFloat64("weight")
+	if units <= 0 {
+		return errors.New("no weight above 0")
+	}
 	v := h.volumes[owner+" "+plan]
 	if v == nil {
 		v = &policy.Volume{}
@@ -298,8 +313,8 @@
 	}
 	c := &policy.Command{ID: id, Volume: v}
 	h.commands[id] = &entry{cmd: c, dispatches: map[int]*policy.Dispatch{}}
-	return h.inst.Taken(c, queue, plan, string(e.GetStringBytes("object")), e.GetInt("group_no"), e.GetInt("n_hosts"),
-		e.GetFloat64("weight"), time.Duration(until)*time.Microsecond, e.GetBool("is_retry"))
+	return h.inst.Taken(c, queue, plan, string(e.GetStringBytes("object")), int(cell), e.GetInt("n_hosts"),
+		units, time.Duration(until)*time.Microsecond, e.GetBool("is_retry"))
 }
 
 func (h *host) reply(e *fastjson.Value) error {
