--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,7 +7,7 @@
 // Mechanisms beside the design:
 //  1. credit: a brick earns it by its answers, a further dispatch spends it (again)
 //  2. cold ramp: a brick that came up gets a rate that starts low and rises (coldRoom)
-//  3. yielding: what misses its service target goes only where nothing else waits (next)
+//  3. yielding: what can wait goes after what can't; what misses its service target goes last, or is refused (next)
 //  4. line: new objects wait at the host, a brick with a free place takes the next (pick)
 //  5. batching: a command for the piece of data that its brick took last goes first in its volume (next)
 //  6. suspicion: a full or unreachable brick rests, longer each time, then gets one command at a time (Ended)
@@ -35,6 +35,9 @@
 	never      = time.Duration(math.MaxInt64)
 )
 
+// What can wait for longer than two of the shortest service targets goes after what can't, what missed its own goes last.
+const pressing, canWait, missed = 0, 1, 2
+
 // New starts a host that knows nothing yet.
 func New(h Host, s Settings) *Instance {
 	in := &Instance{host: h, rng: rand.New(rand.NewSource(s.Seed)), hosts: math.Max(1, float64(s.Hosts)),
@@ -45,13 +48,13 @@
 		early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
 	in.coldUnits = s.ColdUnits / in.hosts * math.Max(s.FallMultiple-1, 0) / math.Max(s.FallMultiple, 1)
 	in.coldProof = math.Max(s.FallMultiple-1, 0) / 2
-	shortest := never
+	in.shortest = never
 	for _, q := range s.QueueTypes {
 		in.queues[q.Name] = &queueType{target: q.ServiceTarget, timeout: q.CommandTimeout, window: q.Window,
 			importance: q.Importance, late: q.LateShare, semantics: q.Semantics, group: q.Group, order: q.InOrder}
-		shortest = min(shortest, q.ServiceTarget)
+		in.shortest = min(in.shortest, q.ServiceTarget)
 	}
-	in.lc = max(time.Duration(float64(shortest)*congestion), time.Millisecond)
+	in.lc = max(time.Duration(float64(in.shortest)*congestion), time.Millisecond)
 	for _, q := range in.queues {
 		q.cost = in.lc.Seconds() / in.usual
 	}
@@ -414,31 +417,29 @@
 	if due := b.quota * b.of; due < 1 && b.lat > 2*in.lc {
 		b.rest = max(b.rest, now+time.Duration(float64(b.lat)*(1/due-1)))
 	}
-	if b.out >= b.window {
-		b.full = true
-	}
+	b.full = b.full || b.out >= b.window
 	return true
 }
 
 // pick takes the due reservation tag that is least, else the least weight tag under limit.
 func (in *Instance) pick(b *Brick, now time.Duration) (best *Command, due bool) {
 	cold := in.coldRoom(b, now)
-	var bestLate bool
+	var bestTier int
 	var bestTag float64
 	for _, no := range [2]int{b.cell, -1} {
 		for _, l := range in.cellOf(no).lanes {
-			c, late := in.next(l, b, now, cold)
+			c, tier := in.next(l, b, now, cold)
 			if c == nil {
 				continue
 			}
-			isDue := !late && l.vol.reserve > 0 && l.vol.rTag <= now
+			isDue := tier != missed && l.vol.reserve > 0 && l.vol.rTag <= now
 			tag := math.Max(l.wTag, b.vtime)
 			if isDue {
 				tag = max(l.vol.rTag, now-period).Seconds()
 			}
-			if best == nil || bestLate && !late ||
-				late == bestLate && (isDue && !due || isDue == due && tag < bestTag) {
-				best, due, bestLate, bestTag = c, isDue, late, tag
+			if best == nil || tier < bestTier ||
+				tier == bestTier && (isDue && !due || isDue == due && tag < bestTag) {
+				best, due, bestTier, bestTag = c, isDue, tier, tag
 			}
 		}
 	}
@@ -446,7 +447,7 @@
 }
 
 // next is the command of a lane that leaves first, and whether it will miss its service target.
-func (in *Instance) next(l *lane, b *Brick, now time.Duration, cold float64) (best *Command, late bool) {
+func (in *Instance) next(l *lane, b *Brick, now time.Duration, cold float64) (best *Command, bestTier int) {
 	bestWorth, room := 0.0, math.Inf(1)
 	if l.vol.plan.limit > 0 {
 		room = l.vol.limit.fill(now)
@@ -455,19 +456,21 @@
 		if c.units > cold || !c.charged && c.units > room {
 			continue
 		}
-		worth, tardy := c.queue.importance/c.queue.cost, now+min(b.lat, c.queue.target/2) > c.target
+		worth, tier := c.queue.importance/c.queue.cost, pressing
 		if c.object != "" && c.object == b.object && len(c.dispatches) == 0 {
 			worth *= batchGain
 		}
-		if tardy {
-			worth *= c.queue.late
+		if now+min(b.lat, c.queue.target/2) > c.target {
+			tier, worth = missed, worth*c.queue.late
+		} else if c.target-now > 2*in.shortest {
+			tier = canWait
 		}
-		if (best == nil || late && !tardy || late == tardy && worth >= bestWorth) &&
+		if (best == nil || tier < bestTier || tier == bestTier && worth >= bestWorth) &&
 			in.mayRun(c, b, now) && in.again(c, b, now) {
-			best, bestWorth, late = c, worth, tardy
+			best, bestWorth, bestTier = c, worth, tier
 		}
 	}
-	return best, late
+	return best, bestTier
 }
 
 // coldRoom is how many units a brick may still take from this host. Guards rule 4: what a brick is sent within a
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -112,6 +112,24 @@
 	//   200ms dispatch 4.0 to a
 }
 
+// A due reservation leaves first, then by weight; what can wait for two of the shortest targets goes after both.
+func Example_tagOrder() {
+	b := start(setting(), "a")
+	b.in.bricks[0].strikes = 1
+	b.take("read", "gold", "x", 0, 2)
+	b.take("row", "gold", "y", 0, 2)
+	b.take("read", "plain", "x", 0, 2)
+	b.take("read", "gold", "z", 0, 2)
+	for range 4 {
+		b.end(Unsent, true)
+	}
+	// Output:
+	//     0ms dispatch 1.0 to a
+	//     0ms dispatch 4.0 to a
+	//     0ms dispatch 3.0 to a
+	//     0ms dispatch 2.0 to a
+}
+
 // The divvy: all demand and an even part of the rest, or by weight between least and most.
 func Example_divvy() {
 	show := func(amount float64, parts ...share) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -168,6 +168,7 @@
 	plans          map[string]*plan
 	lc             time.Duration
 	early          time.Duration
+	shortest       time.Duration // of the service targets
 	cancels        bool
 	advises        time.Duration
 	maxDispatches  int
