--- a/policy/policy.go
+++ b/policy/policy.go
@@ -349,12 +349,12 @@
 
 // ---- the ordinary path
 
-// serve offers a lane's commands to the bricks that can take them, the freest first.
+// serve offers a lane's commands to the bricks that can take them, the one that answers soonest first.
 func (in *Instance) serve(l *lane) {
 	for len(l.held) > 0 {
 		var best *Brick
 		for _, b := range in.at(l.cell) {
-			if free := in.room(b); free > 0 && (best == nil || free > in.room(best)) {
+			if in.room(b) > 0 && (best == nil || b.soon() < best.soon()) {
 				best = b
 			}
 		}
@@ -724,3 +724,5 @@
 }
 
 func (in *Instance) log(format string, args ...any) { in.host.Log(fmt.Sprintf(format, args...)) }
+
+func (b *Brick) soon() time.Duration { return b.lat * time.Duration(b.out+1) } // answer to one more command
