--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -32,7 +32,7 @@
 	b.say("dispatch %d.%d to %s", d.Cmd.ID, d.N, d.Brick.Name)
 }
 func (b *bench) BusyReply(c *Command, pause time.Duration) {
-	b.say("busy-reply %d, back in %v", c.ID, pause)
+	b.say("busy-reply %d, back in %v", c.ID, pause.Round(ms))
 }
 func (b *bench) Abort(c *Command)   { b.say("abort %d", c.ID) }
 func (b *bench) Cancel(d *Dispatch) { b.say("cancel %d.%d", d.Cmd.ID, d.N) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -427,6 +427,9 @@
 	var bestTier int
 	var bestTag float64
 	for _, no := range [2]int{b.cell, -1} {
+		if no < 0 && b.lat > 2*in.least(no) { // new objects wait for a brick that answers sooner
+			continue
+		}
 		for _, l := range in.cellOf(no).lanes {
 			c, tier := in.next(l, b, now, cold)
 			if c == nil {
@@ -574,6 +577,7 @@
 		l.elsewhere = 0
 		other += l.others
 	}
+	v.demand = mine + other
 	parts := []share{{most: mine, weight: 1}, {most: other, weight: v.hosts - 1}}
 	v.reserve = divvy(v.plan.reservation, parts)[0].got
 }
@@ -586,7 +590,9 @@
 			b.answers++
 		}
 	}
-	if b.answers > 0 {
+	if b.answers == 0 { // a brick that gets nothing is not slow for ever
+		b.lat += (in.lc - b.lat) / 64
+	} else {
 		ratio := math.Min(in.lc.Seconds()/(b.sum.Seconds()/float64(b.answers)), 1+growth/gamma)
 		if ratio < 1 || b.full { // an idle brick's low latency says nothing of a wider window
 			b.quota = math.Min(math.Max((1-gamma)*b.quota+gamma*ratio*b.quota, 1), ceiling)
@@ -601,15 +607,9 @@
 	lanes := in.cellOf(b.cell).lanes
 	parts := make([]share, len(lanes))
 	for i, l := range lanes {
-		all := 0.0
-		for _, o := range l.vol.lanes {
-			all += o.demand + o.others
-		}
 		total := l.demand + l.others
-		parts[i] = share{most: total, weight: l.vol.plan.weight}
-		if all > 0 {
-			parts[i].least = math.Min(l.vol.plan.reservation*total/all, total)
-		}
+		reserve := l.vol.plan.reservation * total / math.Max(l.vol.demand, 1e-9)
+		parts[i] = share{least: math.Min(reserve, total), most: total, weight: l.vol.plan.weight}
 	}
 	mine, sum := 0.0, 0.0
 	for i, p := range divvy(b.quota/in.lc.Seconds()*in.usual, parts) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -84,6 +84,7 @@
 
 // Volume is one volume with its plan, as this host knows it.
 type Volume struct {
+	demand  float64 // of all hosts, units a second
 	plan    *plan
 	hosts   float64
 	lanes   []*lane
