--- a/policy/policy.go
+++ b/policy/policy.go
@@ -275,10 +275,9 @@
 	if d.over {
 		return
 	}
-	d.over = true
+	d.over, b.flying = true, without(b.flying, d)
 	c.out--
 	b.out--
-	b.flying = without(b.flying, d)
 	d.ran = how == Completed || how == Errored || how == TimedOut || how == Broken || how == CalledOff
 	if c.key != nil && (how == TimedOut || how == Broken || how == CalledOff) {
 		c.key.rest = max(c.key.rest, now+in.keyRest)
@@ -286,12 +285,11 @@
 	// Only answers of work done feed Lat: fast failures would widen a dying brick's window.
 	switch how {
 	case Completed:
-		d.done = true
+		b.strikes, d.done = 0, true
 		b.sum += took
 		b.answers++
 		b.lat += time.Duration(0.1 * float64(took-b.lat))
 		b.credit = math.Min(b.credit+creditGain, creditTop)
-		b.strikes = 0
 		c.Volume.served += c.units
 		c.queue.cost += 0.02 * (took.Seconds()/c.units - c.queue.cost)
 	case Errored: // one that comes at once held no place: trying again costs little; slow ones earn nothing
@@ -351,16 +349,19 @@
 
 // serve offers a lane's commands to the bricks that can take them, the one that answers soonest first.
 func (in *Instance) serve(l *lane) {
-	for len(l.held) > 0 {
+	for free := slices.Clone(in.at(l.cell)); len(l.held) > 0; {
 		var best *Brick
-		for _, b := range in.at(l.cell) {
+		for _, b := range free {
 			if in.room(b) > 0 && (best == nil || b.soon() < best.soon()) {
 				best = b
 			}
 		}
-		if best == nil || !in.one(best) {
+		if best == nil {
 			return
 		}
+		if !in.one(best) { // cold, or too slow for new objects: the next may do
+			free = without(free, best)
+		}
 	}
 }
 
@@ -406,8 +407,7 @@
 	in.unhold(c)
 	d := &Dispatch{Cmd: c, Brick: b, N: len(c.dispatches), sent: now, ran: true}
 	c.dispatches = append(c.dispatches, d)
-	c.out++
-	b.out++
+	c.out, b.out = c.out+1, b.out+1
 	b.flying, b.object = append(b.flying, d), c.object
 	if in.coldFor > now-b.boot && b.boot > 0 {
 		b.coldLog = append(b.coldLog, d)
