--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	startQuota = 8.0
 	ceiling    = 32
 	congestion = 0.25 // Lc as a part of the shortest service target
+	dueGap     = 8    // what is due waits for this part of a brick's gap
 	creditTop  = 10.0
 	creditGain = 0.5 // credit for an answer of work done
 	batchGain  = 2.0 // worth of a command whose piece of data the brick took last: it costs about half
@@ -288,6 +289,7 @@
 		b.strikes, d.done = 0, true
 		b.sum += took
 		b.answers++
+		in.pace(d, took)
 		b.lat += time.Duration(0.1 * float64(took-b.lat))
 		b.credit = math.Min(b.credit+creditGain, creditTop)
 		c.Volume.served += c.units
@@ -299,6 +301,7 @@
 	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
 		b.sum += took
 		b.answers++
+		in.pace(d, 2*took)
 	case Turned, Unconnected, Broken:
 		// Guards against a full or dead brick that looks free since it answers fast: it rests, twice as long each
 		// time up to a period, then gets one at a time. It hurts one that is back before the list says so.
@@ -307,6 +310,7 @@
 				in.log("suspect %s: full or not reached after %v, %d out", b.Name, took, b.out)
 			}
 			b.strikes++
+			in.pace(d, never/4)
 			b.quota, b.rest = math.Max(b.quota/2, 1), now+min(in.lc<<min(b.strikes-1, 8), period)
 		}
 	}
@@ -331,6 +335,19 @@
 	}
 }
 
+// pace moves the least time between a host's dispatches to a brick. Guards against many hosts with one place each,
+// together far more than the brick's window: slow or missing answers widen the gap, quick ones close it. It hurts
+// where one slow answer says nothing of the next.
+func (in *Instance) pace(d *Dispatch, took time.Duration) {
+	if b := d.Brick; d.sent >= b.paced {
+		factor := math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.5), 2)
+		b.paced, b.gap = in.host.Now(), time.Duration(factor*float64(max(b.gap, in.lc/4)))
+		if b.gap = min(b.gap, 4*period); b.gap <= in.lc/4 {
+			b.gap = 0
+		}
+	}
+}
+
 // told takes what an answer says of the volume's service through all hosts.
 func (in *Instance) told(c *Command, elsewhere, metered float64) {
 	v := c.Volume
@@ -413,10 +430,7 @@
 		b.coldLog = append(b.coldLog, d)
 	}
 	in.host.Dispatch(d, 0)
-	// Guards against many hosts with one place each: where less is due to this one, its place opens at the due rate.
-	if due := b.quota * b.of; due < 1 && b.lat > 2*in.lc {
-		b.rest = max(b.rest, now+time.Duration(float64(b.lat)*(1/due-1)))
-	}
+	b.last = now
 	b.full = b.full || b.out >= b.window
 	return true
 }
@@ -436,6 +450,9 @@
 				continue
 			}
 			isDue := tier != missed && l.vol.reserve > 0 && l.vol.rTag <= now
+			if gap := now - b.last; gap < b.gap/dueGap || !isDue && gap < b.gap {
+				continue
+			}
 			tag := math.Max(l.wTag, b.vtime)
 			if isDue {
 				tag = max(l.vol.rTag, now-period).Seconds()
--- a/policy/state.go
+++ b/policy/state.go
@@ -66,6 +66,9 @@
 	listed  bool
 	strikes int           // times in a row that it was full or not reached
 	rest    time.Duration // nothing goes before
+	last    time.Duration // when it was sent something
+	gap     time.Duration // least time between dispatches to it
+	paced   time.Duration // when the gap moved
 	credit  float64
 	out     int
 	quota   float64 // Q, the latency-set window of all hosts
