--- a/policy/policy.go
+++ b/policy/policy.go
@@ -340,9 +340,9 @@
 // where one slow answer says nothing of the next.
 func (in *Instance) pace(d *Dispatch, took time.Duration) {
 	if b := d.Brick; d.sent >= b.paced {
-		factor := math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.5), 2)
+		factor := math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.125), 8)
 		b.paced, b.gap = in.host.Now(), time.Duration(factor*float64(max(b.gap, in.lc/4)))
-		if b.gap = min(b.gap, 4*period); b.gap <= in.lc/4 {
+		if b.gap = min(b.gap, in.lc*time.Duration(in.hosts)); b.gap <= in.lc/4 {
 			b.gap = 0
 		}
 	}
@@ -608,7 +608,7 @@
 		}
 	}
 	if b.answers == 0 { // a brick that gets nothing is not slow for ever
-		b.lat += (in.lc - b.lat) / 64
+		b.lat += (in.lc - b.lat) / 8
 	} else {
 		ratio := math.Min(in.lc.Seconds()/(b.sum.Seconds()/float64(b.answers)), 1+growth/gamma)
 		if ratio < 1 || b.full { // an idle brick's low latency says nothing of a wider window
