--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	startQuota = 8.0
 	ceiling    = 32
 	congestion = 0.25 // Lc as a part of the shortest service target
-	dueGap     = 8    // what is due waits for this part of a brick's gap
+	dueGap     = 4    // what is due waits for this part of a brick's gap
 	creditTop  = 10.0
 	creditGain = 0.5 // credit for an answer of work done
 	batchGain  = 2.0 // worth of a command whose piece of data the brick took last: it costs about half
@@ -342,7 +342,7 @@
 	if b := d.Brick; d.sent >= b.paced {
 		factor := math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.125), 8)
 		b.paced, b.gap = in.host.Now(), time.Duration(factor*float64(max(b.gap, in.lc/4)))
-		if b.gap = min(b.gap, in.lc*time.Duration(in.hosts)); b.gap <= in.lc/4 {
+		if b.gap = min(b.gap, 4*in.lc*time.Duration(in.hosts)); b.gap <= in.lc/4 {
 			b.gap = 0
 		}
 	}
