--- a/policy/policy.go
+++ b/policy/policy.go
@@ -302,6 +302,9 @@
 		b.sum += took
 		b.answers++
 		in.pace(d, 2*took)
+		if took > in.lc {
+			b.strikes++
+		}
 	case Turned, Unconnected, Broken:
 		// Guards against a full or dead brick that looks free since it answers fast: it rests, twice as long each
 		// time up to a period, then gets one at a time. It hurts one that is back before the list says so.
@@ -342,7 +345,7 @@
 	if b := d.Brick; d.sent >= b.paced {
 		factor := math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.125), 8)
 		b.paced, b.gap = in.host.Now(), time.Duration(factor*float64(max(b.gap, in.lc/4)))
-		if b.gap = min(b.gap, 4*in.lc*time.Duration(in.hosts)); b.gap <= in.lc/4 {
+		if b.gap = min(b.gap, 16*in.lc*time.Duration(in.hosts)); b.gap <= in.lc/4 {
 			b.gap = 0
 		}
 	}
@@ -450,7 +453,7 @@
 				continue
 			}
 			isDue := tier != missed && l.vol.reserve > 0 && l.vol.rTag <= now
-			if gap := now - b.last; gap < b.gap/dueGap || !isDue && gap < b.gap {
+			if gap := now - b.last; gap < b.gap && (!isDue || gap < b.gap/dueGap || b.strikes > 0) {
 				continue
 			}
 			tag := math.Max(l.wTag, b.vtime)
