--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,7 @@
 		refused: map[wish][]time.Duration{}, marksRepeat: s.MarksRepeat, cancels: s.Cancel, advises: s.MaxPause,
 		maxDispatches: s.MaxDispatch, budgeted: s.Budgeted, budgetFree: s.BudgetFree, budgetShare: s.BudgetShare,
 		budgetSpan: s.BudgetSpan, keyRest: s.KeyRest, usual: math.Max(s.UsualUnits, 1), askWithin: s.AskWithin,
-		early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
+		watches: s.Probe && s.Peers, ordinal: s.Ordinal, early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
 	in.coldUnits = s.ColdUnits / in.hosts * math.Max(s.FallMultiple-1, 0) / math.Max(s.FallMultiple, 1)
 	in.coldProof = math.Max(s.FallMultiple-1, 0) / 2
 	in.shortest = never
@@ -91,7 +91,7 @@
 		c.bricks = append(c.bricks, b)
 	}
 	if boot > b.boot {
-		b.boot, b.strikes, b.rest = boot, 0, 0
+		b.boot, b.strikes, b.gap, b.stuck = boot, 0, 0, 0
 		if in.coldFor > in.host.Now()-boot {
 			in.log("ramp %s: started %v ago, warm within %v", b.Name, in.host.Now()-boot, in.coldFor)
 		}
@@ -304,17 +304,19 @@
 		in.pace(d, 2*took)
 		if took > in.lc {
 			b.strikes++
+			in.probe(b)
 		}
 	case Turned, Unconnected, Broken:
-		// Guards against a full or dead brick that looks free since it answers fast: it rests, twice as long each
-		// time up to a period, then gets one at a time. It hurts one that is back before the list says so.
-		if b.rest <= now {
-			if b.strikes == 0 {
-				in.log("suspect %s: full or not reached after %v, %d out", b.Name, took, b.out)
-			}
-			b.strikes++
-			in.pace(d, never/4)
-			b.quota, b.rest = math.Max(b.quota/2, 1), now+min(in.lc<<min(b.strikes-1, 8), period)
+		// Guards against a full or dead brick that looks free since it answers fast. It hurts one that is back
+		// before the list says so.
+		if b.strikes == 0 {
+			in.log("suspect %s: full or not reached after %v, %d out", b.Name, took, b.out)
+		}
+		b.strikes++
+		in.pace(d, never/4)
+		b.quota = math.Max(b.quota/2, 1)
+		if how == Turned && in.watches && now >= b.stuck {
+			in.watch(b)
 		}
 	}
 	if how == Completed || how == Errored {
@@ -361,9 +363,72 @@
 	c.lane.heard = true
 }
 
-// Probed is the answer to a probe and Heard another host's message; none is sent yet.
-func (in *Instance) Probed(b *Brick, how Ending, took time.Duration) {}
-func (in *Instance) Heard(sender int, data []byte)                   {}
+// probe asks whether a brick that left a dispatch unanswered is stuck or its answer was lost.
+func (in *Instance) probe(b *Brick) {
+	if in.watches && !b.probed && b.open {
+		b.probed = true
+		in.host.Probe(b)
+	}
+}
+
+// watch tells all hosts that a brick is stuck and goes on probing it for them. Guards against a brick that holds so
+// much that it grows slow: a little from each of many hosts, who must all find out for themselves, keeps it so. It
+// hurts where a probe is slow for a moment only.
+func (in *Instance) watch(b *Brick) {
+	now := in.host.Now()
+	if now >= b.stuck {
+		in.log("stuck %s: full, or its probe late; %d out", b.Name, b.out)
+	}
+	b.watched = true
+	if b.stuck < now+period {
+		in.host.Tell(-1, append([]byte{'s'}, b.Name...))
+		in.stick(b)
+	}
+	in.host.After(in.shortest, func() {
+		if b.watched {
+			in.probe(b)
+		}
+	})
+}
+
+// stick keeps everything from a brick until it is told free, or for two periods where the watching host is gone.
+func (in *Instance) stick(b *Brick) { b.stuck, b.lat = in.host.Now()+2*period, max(b.lat, in.shortest) }
+
+// free lets a stuck brick have commands again, from each host at a rate that starts low and rises with its answers.
+func (in *Instance) free(b *Brick) {
+	b.stuck, b.watched, b.strikes, b.lat = 0, false, 0, in.lc
+	b.gap = in.lc * time.Duration(in.hosts)
+	b.last = in.host.Now() - time.Duration(in.rng.Int63n(int64(b.gap)))
+}
+
+// Probed is the answer to a probe.
+func (in *Instance) Probed(b *Brick, how Ending, took time.Duration) {
+	b.probed = false
+	switch {
+	case how == Completed && took <= 2*in.lc:
+		b.strikes = 0
+		if b.watched {
+			in.host.Tell(-1, append([]byte{'f'}, b.Name...))
+			in.free(b)
+		}
+	case b.watched || in.host.Now() >= b.stuck && (how == TimedOut || how == Completed && took > in.shortest):
+		in.watch(b)
+	}
+}
+
+// Heard is what another host found: a brick is stuck, or free again. Of two that watch the first goes on.
+func (in *Instance) Heard(sender int, data []byte) {
+	for _, b := range in.bricks {
+		if len(data) < 2 || string(data[1:]) != b.Name {
+			continue
+		}
+		if data[0] == 'f' {
+			in.free(b)
+		} else if in.stick(b); sender < in.ordinal {
+			b.watched = false
+		}
+	}
+}
 
 // ---- the ordinary path
 
@@ -387,7 +452,7 @@
 
 // room is the number of free places at a brick.
 func (in *Instance) room(b *Brick) int {
-	if !b.open || in.host.Now() < b.rest {
+	if !b.open || in.host.Now() < b.stuck {
 		return 0
 	}
 	if b.strikes > 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -64,8 +64,10 @@
 	boot    time.Duration
 	open    bool
 	listed  bool
-	strikes int           // times in a row that it was full or not reached
-	rest    time.Duration // nothing goes before
+	strikes int           // times in a row that it was full, not reached or didn't answer
+	stuck   time.Duration // nothing goes before
+	watched bool          // this host probes it for all
+	probed  bool          // a probe is out
 	last    time.Duration // when it was sent something
 	gap     time.Duration // least time between dispatches to it
 	paced   time.Duration // when the gap moved
@@ -188,6 +190,8 @@
 	keyRest        time.Duration
 	usual          float64
 	askWithin      time.Duration
+	watches        bool // hosts may probe and tell each other
+	ordinal        int
 	volumes        []*Volume
 	bricks         []*Brick
 	cells          map[int]*cell
