--- a/policy/policy.go
+++ b/policy/policy.go
@@ -314,7 +314,6 @@
 		}
 		b.strikes++
 		in.pace(d, never/4)
-		b.quota = math.Max(b.quota/2, 1)
 		if how == Turned && in.watches && now >= b.stuck {
 			in.watch(b)
 		}
@@ -455,9 +454,6 @@
 	if !b.open || in.host.Now() < b.stuck {
 		return 0
 	}
-	if b.strikes > 0 {
-		return 1 - b.out
-	}
 	return b.window - b.out
 }
 
@@ -509,9 +505,6 @@
 	var bestTier int
 	var bestTag float64
 	for _, no := range [2]int{b.cell, -1} {
-		if no < 0 && b.lat > 2*in.least(no) { // new objects wait for a brick that answers sooner
-			continue
-		}
 		for _, l := range in.cellOf(no).lanes {
 			c, tier := in.next(l, b, now, cold)
 			if c == nil {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -123,7 +123,7 @@
 	b.take("read", "plain", "x", 0, 2)
 	b.run(200 * ms)
 	b.list("a", 0, true, 0)
-	b.in.bricks[0].strikes = 1
+	b.in.bricks[0].window = 1
 	b.take("read", "plain", "x", 0, 4)
 	b.take("read", "plain", "x", 0, 3)
 	b.take("read", "plain", "x", 0, 2)
@@ -140,7 +140,7 @@
 // A due reservation leaves first, then by weight; what can wait for two of the shortest targets goes after both.
 func Example_tagOrder() {
 	b := start(setting(), "a")
-	b.in.bricks[0].strikes = 1
+	b.in.bricks[0].window = 1
 	b.take("read", "gold", "x", 0, 2)
 	b.take("row", "gold", "y", 0, 2)
 	b.take("read", "plain", "x", 0, 2)
