--- /dev/null
+++ b/policy/helper.go
@@ -0,0 +1,66 @@
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// Containers and clocks of the module's state; nothing here decides.
+
+func (in *Instance) hold(c *Command) {
+	c.held = true
+	c.lane.held = append(c.lane.held, c)
+}
+
+func (in *Instance) unhold(c *Command) {
+	if c.held {
+		c.held, c.lane.held = false, without(c.lane.held, c)
+	}
+}
+
+func without[T comparable](list []T, x T) []T {
+	if i := slices.Index(list, x); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
+func (in *Instance) cellOf(no int) *cell {
+	if in.cells[no] == nil {
+		in.cells[no] = &cell{}
+	}
+	return in.cells[no]
+}
+
+// at is the bricks that hold a cell; a new object may go to any.
+func (in *Instance) at(cellNo int) []*Brick {
+	if cellNo < 0 {
+		return in.bricks
+	}
+	return in.cellOf(cellNo).bricks
+}
+
+func (in *Instance) laneOf(v *Volume, cellNo int) *lane {
+	for _, l := range v.lanes {
+		if l.cell == cellNo {
+			return l
+		}
+	}
+	l := &lane{vol: v, cell: cellNo, since: in.host.Now()}
+	v.lanes = append(v.lanes, l)
+	c := in.cellOf(cellNo)
+	c.lanes = append(c.lanes, l)
+	return l
+}
+
+// count keeps the units held and out over time, so that time held at the host counts in demand.
+func (l *lane) count(now time.Duration, units float64) {
+	l.area += l.units * (now - l.since).Seconds()
+	l.since = now
+	l.units += units
+}
+
+func (k *bucket) fill(now time.Duration) float64 {
+	k.level, k.at = min(k.level+k.rate*(now-k.at).Seconds(), k.depth), now
+	return k.level
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,12 +5,11 @@
 // types. The ordinary path is the design's: Little's-law demand, the divvy, a latency-set window, tag order.
 //
 // Mechanisms beside the design:
-//  1. credit: a brick earns it by its answers, a further dispatch spends it (again)
-//  2. cold ramp: a brick that came up gets a rate that starts low and rises (coldRoom)
-//  3. yielding: what can wait goes after what can't; what misses its service target goes last, or is refused (next)
-//  4. line: new objects wait at the host, a brick with a free place takes the next (pick)
-//  5. batching: a command for the piece of data that its brick took last goes first in its volume (next)
-//  6. suspicion: a full or unreachable brick rests, longer each time, then gets one command at a time (Ended)
+//  1. gap: a brick earns commands by its answers, at a rate that falls and rises with them (pace, pick, again)
+//  2. watch: where hosts may probe and tell, one watches a stuck brick for all (probe, watch, free)
+//  3. cold ramp: a brick that came up gets a rate that starts low and rises (coldRoom)
+//  4. yielding: what can wait goes after what can't; what misses its service target goes last, or is refused (next)
+//  5. line: new objects wait at the host, a brick with a free place takes the next (serve)
 package policy
 
 import (
@@ -30,13 +29,10 @@
 	ceiling    = 32
 	congestion = 0.25 // Lc as a part of the shortest service target
 	dueGap     = 4    // what is due waits for this part of a brick's gap
-	creditTop  = 10.0
-	creditGain = 0.5 // credit for an answer of work done
-	batchGain  = 2.0 // worth of a command whose piece of data the brick took last: it costs about half
 	never      = time.Duration(math.MaxInt64)
 )
 
-// What can wait for longer than two of the shortest service targets goes after what can't, what missed its own goes last.
+// What can wait for longer than two of the shortest service targets goes after what can't, what missed its last.
 const pressing, canWait, missed = 0, 1, 2
 
 // New starts a host that knows nothing yet.
@@ -46,7 +42,8 @@
 		refused: map[wish][]time.Duration{}, marksRepeat: s.MarksRepeat, cancels: s.Cancel, advises: s.MaxPause,
 		maxDispatches: s.MaxDispatch, budgeted: s.Budgeted, budgetFree: s.BudgetFree, budgetShare: s.BudgetShare,
 		budgetSpan: s.BudgetSpan, keyRest: s.KeyRest, usual: math.Max(s.UsualUnits, 1), askWithin: s.AskWithin,
-		watches: s.Probe && s.Peers, ordinal: s.Ordinal, early: 2 * s.Resolution, coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
+		watches: s.Probe && s.Peers, ordinal: s.Ordinal, early: 2 * s.Resolution,
+		coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
 	in.coldUnits = s.ColdUnits / in.hosts * math.Max(s.FallMultiple-1, 0) / math.Max(s.FallMultiple, 1)
 	in.coldProof = math.Max(s.FallMultiple-1, 0) / 2
 	in.shortest = never
@@ -84,7 +81,7 @@
 // Listed is one line of the list.
 func (in *Instance) Listed(b *Brick, zone string, cellNo int, serving, gone bool, boot time.Duration) {
 	if b.quota == 0 {
-		b.quota, b.of, b.credit, b.lat = startQuota, 1/in.hosts, creditTop/2, in.lc
+		b.quota, b.of, b.lat = startQuota, 1/in.hosts, in.lc
 		b.window, b.cell = part(b.quota, b.of), cellNo
 		in.bricks = append(in.bricks, b)
 		c := in.cellOf(cellNo)
@@ -102,7 +99,6 @@
 	b.zone, b.listed, b.open = zone, !gone, serving
 }
 
-// ListEnds closes a list.
 func (in *Instance) ListEnds() {
 	for _, b := range in.bricks {
 		if !b.listed && b.open {
@@ -167,7 +163,6 @@
 	in.callOff(d.Cmd, d)
 }
 
-// callOff stops waiting for all dispatches of c but one.
 func (in *Instance) callOff(c *Command, but *Dispatch) {
 	for _, d := range c.dispatches {
 		if d != but && !d.over && in.cancels {
@@ -184,9 +179,8 @@
 	}
 }
 
-// firstTry is when the client first asked. Its repeat of what this host gave up on counts from there, so it must not
-// go ahead of what can still be in time. Guards against storms of repeats; a client that asks for the same piece of
-// data anew, in the same size, may be taken for one.
+// firstTry is when the client first asked. Its repeat of what this host gave up on counts from there, so it can't
+// go ahead of what can still be in time. Guards against storms of repeats; what asks anew may be taken for one.
 func (in *Instance) firstTry(c *Command, repeat bool) time.Duration {
 	c.wish = wish{c.Volume, c.queue, c.object, c.units}
 	tries := in.refused[c.wish]
@@ -199,7 +193,6 @@
 	return tries[0]
 }
 
-// giveUp gives the final answer at once.
 func (in *Instance) giveUp(c *Command) {
 	in.refused[c.wish] = append(in.refused[c.wish], c.first)
 	busy := in.mayRefuse(c)
@@ -211,7 +204,6 @@
 	}
 }
 
-// finish ends what the host does for a command.
 func (in *Instance) finish(c *Command) {
 	in.unhold(c)
 	c.over = true
@@ -257,7 +249,7 @@
 	if len(c.dispatches) == 0 {
 		return true
 	}
-	if c.out > 0 || len(c.dispatches) >= in.maxDispatches || b.credit < 1 {
+	if c.out > 0 || len(c.dispatches) >= in.maxDispatches || b.strikes > 0 {
 		return false
 	}
 	if !in.budgeted {
@@ -277,8 +269,7 @@
 		return
 	}
 	d.over, b.flying = true, without(b.flying, d)
-	c.out--
-	b.out--
+	c.out, b.out = c.out-1, b.out-1
 	d.ran = how == Completed || how == Errored || how == TimedOut || how == Broken || how == CalledOff
 	if c.key != nil && (how == TimedOut || how == Broken || how == CalledOff) {
 		c.key.rest = max(c.key.rest, now+in.keyRest)
@@ -291,13 +282,8 @@
 		b.answers++
 		in.pace(d, took)
 		b.lat += time.Duration(0.1 * float64(took-b.lat))
-		b.credit = math.Min(b.credit+creditGain, creditTop)
 		c.Volume.served += c.units
 		c.queue.cost += 0.02 * (took.Seconds()/c.units - c.queue.cost)
-	case Errored: // one that comes at once held no place: trying again costs little; slow ones earn nothing
-		if took < in.lc {
-			b.credit = math.Min(b.credit+1, creditTop)
-		}
 	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
 		b.sum += took
 		b.answers++
@@ -307,8 +293,6 @@
 			in.probe(b)
 		}
 	case Turned, Unconnected, Broken:
-		// Guards against a full or dead brick that looks free since it answers fast. It hurts one that is back
-		// before the list says so.
 		if b.strikes == 0 {
 			in.log("suspect %s: full or not reached after %v, %d out", b.Name, took, b.out)
 		}
@@ -340,8 +324,8 @@
 }
 
 // pace moves the least time between a host's dispatches to a brick. Guards against many hosts with one place each,
-// together far more than the brick's window: slow or missing answers widen the gap, quick ones close it. It hurts
-// where one slow answer says nothing of the next.
+// together far more than its window, and against a full or dead brick that looks free since it answers fast. It
+// hurts where one slow answer says nothing of the next, and a brick that is back before the list says so.
 func (in *Instance) pace(d *Dispatch, took time.Duration) {
 	if b := d.Brick; d.sent >= b.paced {
 		factor := math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.125), 8)
@@ -358,8 +342,7 @@
 	if metered > 0 {
 		v.told, v.hasTold = (metered-1)/100*v.plan.nominal, true
 	}
-	c.lane.elsewhere += elsewhere
-	c.lane.heard = true
+	c.lane.elsewhere, c.lane.heard = c.lane.elsewhere+elsewhere, true
 }
 
 // probe asks whether a brick that left a dispatch unanswered is stuck or its answer was lost.
@@ -371,8 +354,7 @@
 }
 
 // watch tells all hosts that a brick is stuck and goes on probing it for them. Guards against a brick that holds so
-// much that it grows slow: a little from each of many hosts, who must all find out for themselves, keeps it so. It
-// hurts where a probe is slow for a moment only.
+// much that it grows slow: a little from each of many hosts keeps it so. It hurts where only the probe is slow.
 func (in *Instance) watch(b *Brick) {
 	now := in.host.Now()
 	if now >= b.stuck {
@@ -429,8 +411,6 @@
 	}
 }
 
-// ---- the ordinary path
-
 // serve offers a lane's commands to the bricks that can take them, the one that answers soonest first.
 func (in *Instance) serve(l *lane) {
 	for free := slices.Clone(in.at(l.cell)); len(l.held) > 0; {
@@ -482,14 +462,13 @@
 		l.wTag += c.units / v.plan.weight
 	}
 	if len(c.dispatches) > 0 {
-		b.credit--
 		in.further = append(in.further, now)
 	}
 	in.unhold(c)
 	d := &Dispatch{Cmd: c, Brick: b, N: len(c.dispatches), sent: now, ran: true}
 	c.dispatches = append(c.dispatches, d)
 	c.out, b.out = c.out+1, b.out+1
-	b.flying, b.object = append(b.flying, d), c.object
+	b.flying = append(b.flying, d)
 	if in.coldFor > now-b.boot && b.boot > 0 {
 		b.coldLog = append(b.coldLog, d)
 	}
@@ -538,9 +517,6 @@
 			continue
 		}
 		worth, tier := c.queue.importance/c.queue.cost, pressing
-		if c.object != "" && c.object == b.object && len(c.dispatches) == 0 {
-			worth *= batchGain
-		}
 		if now+min(b.lat, c.queue.target/2) > c.target {
 			tier, worth = missed, worth*c.queue.late
 		} else if c.target-now > 2*in.shortest {
@@ -731,17 +707,6 @@
 	return parts
 }
 
-func (in *Instance) hold(c *Command) {
-	c.held = true
-	c.lane.held = append(c.lane.held, c)
-}
-
-func (in *Instance) unhold(c *Command) {
-	if c.held {
-		c.held, c.lane.held = false, without(c.lane.held, c)
-	}
-}
-
 // leaveLine frees a key once its command is over and no dispatch of it is out.
 func (in *Instance) leaveLine(c *Command) {
 	if c.key == nil || c.out > 0 {
@@ -754,53 +719,6 @@
 	}
 }
 
-func without[T comparable](list []T, x T) []T {
-	if i := slices.Index(list, x); i >= 0 {
-		return slices.Delete(list, i, i+1)
-	}
-	return list
-}
-
-func (in *Instance) cellOf(no int) *cell {
-	if in.cells[no] == nil {
-		in.cells[no] = &cell{}
-	}
-	return in.cells[no]
-}
-
-// at is the bricks that hold a cell; a new object may go to any.
-func (in *Instance) at(cellNo int) []*Brick {
-	if cellNo < 0 {
-		return in.bricks
-	}
-	return in.cellOf(cellNo).bricks
-}
-
-func (in *Instance) laneOf(v *Volume, cellNo int) *lane {
-	for _, l := range v.lanes {
-		if l.cell == cellNo {
-			return l
-		}
-	}
-	l := &lane{vol: v, cell: cellNo, since: in.host.Now()}
-	v.lanes = append(v.lanes, l)
-	c := in.cellOf(cellNo)
-	c.lanes = append(c.lanes, l)
-	return l
-}
-
-// count keeps the units held and out over time, so that time held at the host counts in demand.
-func (l *lane) count(now time.Duration, units float64) {
-	l.area += l.units * (now - l.since).Seconds()
-	l.since = now
-	l.units += units
-}
-
-func (k *bucket) fill(now time.Duration) float64 {
-	k.level, k.at = math.Min(k.level+k.rate*(now-k.at).Seconds(), k.depth), now
-	return k.level
-}
-
 func (in *Instance) log(format string, args ...any) { in.host.Log(fmt.Sprintf(format, args...)) }
 
 func (b *Brick) soon() time.Duration { return b.lat * time.Duration(b.out+1) } // answer to one more command
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -21,13 +21,17 @@
 	b := start(setting(), "a")
 	b.take("once", "plain", "x", 0, 2)
 	b.end(Unconnected, false)
+	b.take("read", "plain", "x", 0, 2)
 	b.run(110 * ms)
+	b.end(Completed, true)
+	b.run(20 * ms)
 	b.end(Errored, false)
 	// Output:
 	//     0ms dispatch 1.0 to a
 	//     0ms log: suspect a: full or not reached after 0s, 0 out
-	//   100ms dispatch 1.1 to a
-	//   110ms abort 1
+	//   100ms dispatch 2.0 to a
+	//   110ms dispatch 1.1 to a
+	//   130ms abort 1
 }
 
 // Nothing goes to a draining brick, also what waits.
--- a/policy/state.go
+++ b/policy/state.go
@@ -71,7 +71,6 @@
 	last    time.Duration // when it was sent something
 	gap     time.Duration // least time between dispatches to it
 	paced   time.Duration // when the gap moved
-	credit  float64
 	out     int
 	quota   float64 // Q, the latency-set window of all hosts
 	of      float64 // this host's part of it
@@ -84,7 +83,6 @@
 	flying  []*Dispatch
 	vtime   float64
 	coldLog []*Dispatch // while it is cold: out, or come to nothing within a span
-	object  string      // of the last dispatch
 }
 
 // Volume is one volume with its plan, as this host knows it.
