--- a/policy/helper.go
+++ b/policy/helper.go
@@ -46,7 +46,7 @@
 			return l
 		}
 	}
-	l := &lane{vol: v, cell: cellNo, since: in.host.Now()}
+	l := &lane{vol: v, cell: cellNo, since: in.host.Now(), told: in.host.Now()}
 	v.lanes = append(v.lanes, l)
 	c := in.cellOf(cellNo)
 	c.lanes = append(c.lanes, l)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -342,7 +342,12 @@
 	if metered > 0 {
 		v.told, v.hasTold = (metered-1)/100*v.plan.nominal, true
 	}
-	c.lane.elsewhere, c.lane.heard = c.lane.elsewhere+elsewhere, true
+	// With few commands of a volume an answer tells of a long time: the rate is over the time since the last.
+	l := c.lane
+	if since := (in.host.Now() - l.told).Seconds(); since > 0 {
+		l.others += (elsewhere/since - l.others) * since / (since + period.Seconds())
+	}
+	l.told, l.heard = in.host.Now(), true
 }
 
 // probe asks whether a brick that left a dispatch unanswered is stuck or its answer was lost.
@@ -623,12 +628,9 @@
 			l.others = 0
 		case v.hasTold:
 			l.others = math.Max(0, v.told-v.rate) * (l.demand + 0.01) / (mine + 0.01*float64(len(v.lanes)))
-		case l.heard:
-			l.others += 0.5 * (l.elsewhere/period.Seconds() - l.others)
-		default:
+		case !l.heard:
 			l.others = v.plan.nominal * (v.hosts - 1) / v.hosts / float64(len(v.lanes))
 		}
-		l.elsewhere = 0
 		other += l.others
 	}
 	v.demand = mine + other
--- a/policy/state.go
+++ b/policy/state.go
@@ -103,17 +103,17 @@
 // The rest lives as long as the instance.
 
 type lane struct {
-	vol       *Volume
-	cell      int
-	held      []*Command
-	wTag      float64
-	units     float64 // held and out now
-	area      float64 // units x seconds since the last period
-	since     time.Duration
-	demand    float64 // units a second
-	others    float64
-	elsewhere float64
-	heard     bool
+	vol    *Volume
+	cell   int
+	held   []*Command
+	wTag   float64
+	units  float64 // held and out now
+	area   float64 // units x seconds since the last period
+	since  time.Duration
+	demand float64 // units a second
+	others float64
+	told   time.Duration // when an answer last told of others
+	heard  bool
 }
 
 type queueType struct {
