--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,14 +1,14 @@
 // Package policy decides, for one host, which command goes to which storage node and when.
 //
 // How it is called: New once, then one method for each thing that happens: ListBegins, Listed, ListEnds,
-// ListFailed, Taken, Begun, Ended, Left, Probed, Heard. It acts through Host (host.go), at once; state.go has the
-// types. The ordinary path is the design's: Little's-law demand, the divvy, a latency-set window, tag order.
+// ListFailed, Taken, Begun, Ended, Left, Probed, Heard. It acts at once, through Host (host.go). The design
+// decides the ordinary path: Little's-law demand, the divvy, a latency-set window, tag order.
 //
 // Mechanisms beside the design:
-//  1. gap: a brick earns commands by its answers, at a rate that falls and rises with them (pace, pick, again)
+//  1. gap: a brick earns commands by its answers, at a rate that falls and rises with them (pace, pick)
 //  2. watch: where hosts may probe and tell, one watches a stuck brick for all (probe, watch, free)
 //  3. cold ramp: a brick that came up gets a rate that starts low and rises (coldRoom)
-//  4. yielding: what can wait goes after what can't; what misses its service target goes last, or is refused (next)
+//  4. yielding: what can wait goes later, what misses its service target last, or it is refused (next)
 //  5. line: new objects wait at the host, a brick with a free place takes the next (serve)
 package policy
 
@@ -32,7 +32,7 @@
 	never      = time.Duration(math.MaxInt64)
 )
 
-// What can wait for longer than two of the shortest service targets goes after what can't, what missed its last.
+// What can wait for two of the shortest service targets goes after what can't, what missed its own goes last.
 const pressing, canWait, missed = 0, 1, 2
 
 // New starts a host that knows nothing yet.
@@ -179,17 +179,15 @@
 	}
 }
 
-// firstTry is when the client first asked. Its repeat of what this host gave up on counts from there, so it can't
-// go ahead of what can still be in time. Guards against storms of repeats; what asks anew may be taken for one.
+// firstTry is when the client first asked. Its repeat of what this host gave up on counts from there, so it
+// won't go before what can be in time. Guards against storms of repeats; what asks anew may look like one.
 func (in *Instance) firstTry(c *Command, repeat bool) time.Duration {
 	c.wish = wish{c.Volume, c.queue, c.object, c.units}
 	tries := in.refused[c.wish]
 	if len(tries) == 0 || in.marksRepeat && !repeat {
 		return c.taken
 	}
-	if in.refused[c.wish] = tries[1:]; len(tries) == 1 {
-		delete(in.refused, c.wish)
-	}
+	in.refused[c.wish] = tries[1:]
 	return tries[0]
 }
 
@@ -263,19 +261,15 @@
 }
 
 // Ended tells how a dispatch ended; last, that the command is over.
-func (in *Instance) Ended(d *Dispatch, how Ending, took time.Duration, last bool, elsewhere, metered float64) {
+func (in *Instance) Ended(d *Dispatch, how Ending, took time.Duration, last bool, elsewhere, meter float64) {
 	now, c, b := in.host.Now(), d.Cmd, d.Brick
-	if d.over {
-		return
-	}
 	d.over, b.flying = true, without(b.flying, d)
 	c.out, b.out = c.out-1, b.out-1
 	d.ran = how == Completed || how == Errored || how == TimedOut || how == Broken || how == CalledOff
 	if c.key != nil && (how == TimedOut || how == Broken || how == CalledOff) {
 		c.key.rest = max(c.key.rest, now+in.keyRest)
 	}
-	// Only answers of work done feed Lat: fast failures would widen a dying brick's window.
-	switch how {
+	switch how { // only work done feeds Lat: fast failures would widen a dying brick's window
 	case Completed:
 		b.strikes, d.done = 0, true
 		b.sum += took
@@ -303,7 +297,7 @@
 		}
 	}
 	if how == Completed || how == Errored {
-		in.told(c, elsewhere, metered)
+		in.told(c, elsewhere, meter)
 	}
 	switch {
 	case c.over:
@@ -323,23 +317,23 @@
 	}
 }
 
-// pace moves the least time between a host's dispatches to a brick. Guards against many hosts with one place each,
-// together far more than its window, and against a full or dead brick that looks free since it answers fast. It
-// hurts where one slow answer says nothing of the next, and a brick that is back before the list says so.
+// pace moves the least time between dispatches to a brick, from the host's own rate on. Guards against many
+// hosts with one place each, however few their commands, and against a full or dead brick that looks free
+// since it answers fast. It hurts where a slow answer says nothing of the next, or a brick is back unlisted.
 func (in *Instance) pace(d *Dispatch, took time.Duration) {
-	if b := d.Brick; d.sent >= b.paced {
-		factor := math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.125), 8)
-		b.paced, b.gap = in.host.Now(), time.Duration(factor*float64(max(b.gap, in.lc/4)))
-		if b.gap = min(b.gap, 16*in.lc*time.Duration(in.hosts)); b.gap <= in.lc/4 {
-			b.gap = 0
-		}
+	b, factor := d.Brick, math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.125), 8)
+	gap := min(time.Duration(factor*float64(d.gap)), 16*in.lc*time.Duration(in.hosts))
+	if gap <= in.lc/4 {
+		gap = 0
+	}
+	if factor > 1 && gap > b.gap || factor <= 1 && d.sent >= b.paced {
+		b.paced, b.gap = in.host.Now(), gap
 	}
 }
 
 // told takes what an answer says of the volume's service through all hosts.
 func (in *Instance) told(c *Command, elsewhere, metered float64) {
-	v := c.Volume
-	if metered > 0 {
+	if v := c.Volume; metered > 0 {
 		v.told, v.hasTold = (metered-1)/100*v.plan.nominal, true
 	}
 	// With few commands of a volume an answer tells of a long time: the rate is over the time since the last.
@@ -358,8 +352,8 @@
 	}
 }
 
-// watch tells all hosts that a brick is stuck and goes on probing it for them. Guards against a brick that holds so
-// much that it grows slow: a little from each of many hosts keeps it so. It hurts where only the probe is slow.
+// watch tells all hosts that a brick is stuck and probes it for them. Guards against one that holds so much
+// that it is slow: a little from each of many hosts keeps it so. It hurts where only the probe is slow.
 func (in *Instance) watch(b *Brick) {
 	now := in.host.Now()
 	if now >= b.stuck {
@@ -377,10 +371,10 @@
 	})
 }
 
-// stick keeps everything from a brick until it is told free, or for two periods where the watching host is gone.
+// stick keeps all from a brick until it is told free, or for two periods where the watching host is gone.
 func (in *Instance) stick(b *Brick) { b.stuck, b.lat = in.host.Now()+2*period, max(b.lat, in.shortest) }
 
-// free lets a stuck brick have commands again, from each host at a rate that starts low and rises with its answers.
+// free lets a stuck brick have commands again, from each host at a rate that starts low and rises.
 func (in *Instance) free(b *Brick) {
 	b.stuck, b.watched, b.strikes, b.lat = 0, false, 0, in.lc
 	b.gap = in.lc * time.Duration(in.hosts)
@@ -389,11 +383,9 @@
 
 // Probed is the answer to a probe.
 func (in *Instance) Probed(b *Brick, how Ending, took time.Duration) {
-	b.probed = false
-	switch {
+	switch b.probed = false; {
 	case how == Completed && took <= 2*in.lc:
-		b.strikes = 0
-		if b.watched {
+		if b.strikes = 0; b.watched {
 			in.host.Tell(-1, append([]byte{'f'}, b.Name...))
 			in.free(b)
 		}
@@ -471,6 +463,7 @@
 	}
 	in.unhold(c)
 	d := &Dispatch{Cmd: c, Brick: b, N: len(c.dispatches), sent: now, ran: true}
+	d.gap = max(b.gap, min(b.every, in.lc*time.Duration(in.hosts)/16), in.lc/4)
 	c.dispatches = append(c.dispatches, d)
 	c.out, b.out = c.out+1, b.out+1
 	b.flying = append(b.flying, d)
@@ -478,6 +471,7 @@
 		b.coldLog = append(b.coldLog, d)
 	}
 	in.host.Dispatch(d, 0)
+	b.every += (min(now-b.last, 4*period) - b.every) / 4
 	b.last = now
 	b.full = b.full || b.out >= b.window
 	return true
@@ -535,9 +529,9 @@
 	return best, bestTier
 }
 
-// coldRoom is how many units a brick may still take from this host. Guards rule 4: what a brick is sent within a
-// span is what it did (at most capacity x span) and what was out or came to nothing, which is kept to this host's
-// part of the units that it always bears x (multiple-1)/multiple, more as it warms, or to half of what it did.
+// coldRoom is how many units a brick may still take from this host. Guards rule 4: what a brick is sent within
+// a span is what it did (at most capacity x span) and what was out or came to nothing, kept to this host's part
+// of what it always bears x (multiple-1)/multiple, more as it warms, or to half of what it did.
 func (in *Instance) coldRoom(b *Brick, now time.Duration) float64 {
 	age := now - b.boot
 	if b.boot == 0 || age >= in.coldFor {
@@ -604,7 +598,7 @@
 		in.demand(v, now)
 	}
 	maps.DeleteFunc(in.refused, func(w wish, tries []time.Duration) bool {
-		return now-tries[len(tries)-1] > w.queue.timeout+in.advises+period
+		return len(tries) == 0 || now-tries[len(tries)-1] > w.queue.timeout+in.advises+period
 	})
 	for _, b := range in.bricks {
 		in.entitle(b)
@@ -644,6 +638,9 @@
 		if age := now - d.sent; age > in.lc {
 			b.sum += age
 			b.answers++
+			if age > 2*in.lc {
+				in.pace(d, age)
+			}
 		}
 	}
 	if b.answers == 0 { // a brick that gets nothing is not slow for ever
--- a/policy/state.go
+++ b/policy/state.go
@@ -27,6 +27,7 @@
 	N     int
 
 	sent time.Duration
+	gap  time.Duration // the brick's when it was sent
 	over bool
 	ran  bool // may have run, or may yet
 }
@@ -68,6 +69,7 @@
 	stuck   time.Duration // nothing goes before
 	watched bool          // this host probes it for all
 	probed  bool          // a probe is out
+	every   time.Duration // mean time between dispatches
 	last    time.Duration // when it was sent something
 	gap     time.Duration // least time between dispatches to it
 	paced   time.Duration // when the gap moved
