--- a/policy/helper.go
+++ b/policy/helper.go
@@ -25,6 +25,13 @@
 	return list
 }
 
+func (in *Instance) keyOf(object string) *key {
+	if in.keys[object] == nil {
+		in.keys[object] = &key{}
+	}
+	return in.keys[object]
+}
+
 func (in *Instance) cellOf(no int) *cell {
 	if in.cells[no] == nil {
 		in.cells[no] = &cell{}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -140,10 +140,7 @@
 	c.first, c.lane = in.firstTry(c, repeat), in.laneOf(v, cellNo)
 	c.target = min(c.first+c.queue.target, giveUp)
 	if c.queue.order && object != "" {
-		if in.keys[object] == nil {
-			in.keys[object] = &key{}
-		}
-		c.key = in.keys[object]
+		c.key = in.keyOf(object)
 		c.key.line = append(c.key.line, c)
 	}
 	c.lane.count(now, c.units)
@@ -226,17 +223,9 @@
 		return false
 	}
 	for _, d := range c.dispatches {
-		if !d.ran {
-			continue
-		}
-		switch c.queue.semantics {
-		case NonRetryable:
+		if q := c.queue; d.ran && (q.semantics == NonRetryable || q.semantics == Tagged && (now >= d.sent+q.window ||
+			q.group == "zone" && b.zone != d.Brick.zone || q.group == "cell" && b.cell != d.Brick.cell)) {
 			return false
-		case Tagged:
-			if now >= d.sent+c.queue.window || c.queue.group == "zone" && b.zone != d.Brick.zone ||
-				c.queue.group == "cell" && b.cell != d.Brick.cell {
-				return false
-			}
 		}
 	}
 	return true
@@ -281,11 +270,13 @@
 	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
 		b.sum += took
 		b.answers++
-		in.pace(d, 2*took)
 		if took > in.lc {
 			b.strikes++
 			in.probe(b)
 		}
+		if !in.watches {
+			in.pace(d, 2*took)
+		}
 	case Turned, Unconnected, Broken:
 		if b.strikes == 0 {
 			in.log("suspect %s: full or not reached after %v, %d out", b.Name, took, b.out)
@@ -344,14 +335,20 @@
 	l.told, l.heard = in.host.Now(), true
 }
 
-// probe asks whether a brick that left a dispatch unanswered is stuck or its answer was lost.
+// probe asks whether a brick that left a dispatch unanswered is slow or stuck, or only that answer was lost.
 func (in *Instance) probe(b *Brick) {
 	if in.watches && !b.probed && b.open {
 		b.probed = true
+		b.probe = Dispatch{Brick: b, sent: in.host.Now(), gap: in.start(b)}
 		in.host.Probe(b)
 	}
 }
 
+// start is where the gap opens from: the host's own rate.
+func (in *Instance) start(b *Brick) time.Duration {
+	return max(b.gap, min(b.every, in.lc*time.Duration(in.hosts)/16), in.lc/4)
+}
+
 // watch tells all hosts that a brick is stuck and probes it for them. Guards against one that holds so much
 // that it is slow: a little from each of many hosts keeps it so. It hurts where only the probe is slow.
 func (in *Instance) watch(b *Brick) {
@@ -389,8 +386,10 @@
 			in.host.Tell(-1, append([]byte{'f'}, b.Name...))
 			in.free(b)
 		}
-	case b.watched || in.host.Now() >= b.stuck && (how == TimedOut || how == Completed && took > in.shortest):
+	case b.watched || in.host.Now() >= b.stuck && how == TimedOut:
 		in.watch(b)
+	case how == Completed:
+		in.pace(&b.probe, took)
 	}
 }
 
@@ -462,8 +461,7 @@
 		in.further = append(in.further, now)
 	}
 	in.unhold(c)
-	d := &Dispatch{Cmd: c, Brick: b, N: len(c.dispatches), sent: now, ran: true}
-	d.gap = max(b.gap, min(b.every, in.lc*time.Duration(in.hosts)/16), in.lc/4)
+	d := &Dispatch{Cmd: c, Brick: b, N: len(c.dispatches), sent: now, gap: in.start(b), ran: true}
 	c.dispatches = append(c.dispatches, d)
 	c.out, b.out = c.out+1, b.out+1
 	b.flying = append(b.flying, d)
@@ -489,7 +487,11 @@
 				continue
 			}
 			isDue := tier != missed && l.vol.reserve > 0 && l.vol.rTag <= now
-			if gap := now - b.last; gap < b.gap && (!isDue || gap < b.gap/dueGap || b.strikes > 0) {
+			since := now - b.last
+			if no < 0 { // any brick will do: it must not take the turn of what only this one can serve
+				since /= 2
+			}
+			if since < b.gap && (!isDue || since < b.gap/dueGap || b.strikes > 0) {
 				continue
 			}
 			tag := math.Max(l.wTag, b.vtime)
@@ -638,7 +640,7 @@
 		if age := now - d.sent; age > in.lc {
 			b.sum += age
 			b.answers++
-			if age > 2*in.lc {
+			if !in.watches {
 				in.pace(d, age)
 			}
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -119,6 +119,44 @@
 	// 0s
 }
 
+// A full brick is told to all and probed until a probe comes back soon; then it is told free, with a gap. A late
+// answer whose probe is quick was lost, and opens none. What another host tells is believed.
+func Example_watch() {
+	s := setting()
+	s.Probe, s.Peers, s.Ordinal = true, true, 1
+	b := start(s, "a")
+	a := b.bricks["a"]
+	b.take("read", "plain", "x", 0, 2)
+	b.end(Turned, false)
+	b.run(210 * ms)
+	b.in.Probed(a, Completed, 300*ms)
+	b.run(210 * ms)
+	b.in.Probed(a, Completed, 40*ms)
+	fmt.Println(a.gap, a.stuck)
+	b.in.Heard(0, []byte("sa"))
+	b.take("read", "plain", "y", 0, 2)
+	b.in.Heard(0, []byte("fa"))
+	a.gap = 0
+	b.run(20 * ms)
+	b.run(150 * ms)
+	b.end(TimedOut, true)
+	b.in.Probed(a, Completed, 40*ms)
+	fmt.Println(a.gap, a.strikes)
+	// Output:
+	//     0ms dispatch 1.0 to a
+	//     0ms log: suspect a: full or not reached after 0s, 0 out
+	//     0ms log: stuck a: full, or its probe late; 0 out
+	//     0ms tell -1 "sa"
+	//   112ms busy-reply 1, back in 181ms
+	//   200ms probe a
+	//   410ms probe a
+	//   420ms tell -1 "fa"
+	// 100ms 0s
+	//   425ms dispatch 2.0 to a
+	//   590ms probe a
+	// 0s 0
+}
+
 // A client's repeat of what was given up keeps the first try's target: it yields to what can be in time.
 func Example_repeat() {
 	b := start(setting(), "a")
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,6 +69,7 @@
 	stuck   time.Duration // nothing goes before
 	watched bool          // this host probes it for all
 	probed  bool          // a probe is out
+	probe   Dispatch      // the last
 	every   time.Duration // mean time between dispatches
 	last    time.Duration // when it was sent something
 	gap     time.Duration // least time between dispatches to it
