--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,8 +45,7 @@
 		watches: s.Probe && s.Peers, ordinal: s.Ordinal, early: 2 * s.Resolution,
 		coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
 	in.coldUnits = s.ColdUnits / in.hosts * math.Max(s.FallMultiple-1, 0) / math.Max(s.FallMultiple, 1)
-	in.coldProof = math.Max(s.FallMultiple-1, 0) / 2
-	in.shortest = never
+	in.coldProof, in.shortest = math.Max(s.FallMultiple-1, 0)/2, never
 	for _, q := range s.QueueTypes {
 		in.queues[q.Name] = &queueType{target: q.ServiceTarget, timeout: q.CommandTimeout, window: q.Window,
 			importance: q.Importance, late: q.LateShare, semantics: q.Semantics, group: q.Group, order: q.InOrder}
@@ -54,7 +53,7 @@
 	}
 	in.lc = max(time.Duration(float64(in.shortest)*congestion), time.Millisecond)
 	for _, q := range in.queues {
-		q.cost = in.lc.Seconds() / in.usual
+		q.cost, q.work = in.lc.Seconds()/in.usual, in.lc.Seconds()/in.usual/2
 	}
 	for _, p := range s.Plans {
 		in.plans[p.Name] = &plan{nominal: p.Nominal, reservation: p.Reservation, limit: p.Limit, depth: p.Depth,
@@ -263,7 +262,9 @@
 		b.strikes, d.done = 0, true
 		b.sum += took
 		b.answers++
-		in.pace(d, took)
+		more := took.Seconds()/c.units - c.queue.work // own work a unit: the least twentieth of what answers took
+		c.queue.work += math.Min(0.1*more, 0.005*more)
+		in.pace(d, took-time.Duration(c.queue.work*c.units*float64(time.Second)))
 		b.lat += time.Duration(0.1 * float64(took-b.lat))
 		c.Volume.served += c.units
 		c.queue.cost += 0.02 * (took.Seconds()/c.units - c.queue.cost)
@@ -312,7 +313,7 @@
 // hosts with one place each, however few their commands, and against a full or dead brick that looks free
 // since it answers fast. It hurts where a slow answer says nothing of the next, or a brick is back unlisted.
 func (in *Instance) pace(d *Dispatch, took time.Duration) {
-	b, factor := d.Brick, math.Min(math.Max(took.Seconds()/(2*in.lc.Seconds()), 0.125), 8)
+	b, factor := d.Brick, math.Min(math.Max(took.Seconds()/in.lc.Seconds(), 0.125), 8)
 	gap := min(time.Duration(factor*float64(d.gap)), 16*in.lc*time.Duration(in.hosts))
 	if gap <= in.lc/4 {
 		gap = 0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -113,8 +113,8 @@
 	// Output:
 	//     0ms dispatch 1.0 to a
 	//   180ms dispatch 2.0 to a
-	//   187ms dispatch 4.0 to a
-	// 22.499999ms
+	//   200ms dispatch 4.0 to a
+	// 38.55625ms
 	//   220ms dispatch 3.0 to a
 	// 0s
 }
@@ -242,7 +242,7 @@
 	//     0ms dispatch 4.0 to a
 	// Q 8.00 of 0.50, window 4, demand 0.0
 	// Q 6.00 of 0.50, window 3, demand 0.0
-	// Q 4.50 of 0.50, window 2, demand 0.0
+	// Q 4.71 of 0.50, window 2, demand 0.0
 	// Q 1.00 of 1.00, window 1, demand 87.0
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -124,6 +124,7 @@
 	window           time.Duration
 	importance, late float64
 	cost             float64 // seconds a unit, as answers showed
+	work             float64 // the same where nothing was before it
 	semantics        Semantics
 	group            string
 	order            bool
