--- a/policy/policy.go
+++ b/policy/policy.go
@@ -484,7 +484,7 @@
 	for _, no := range [2]int{b.cell, -1} {
 		for _, l := range in.cellOf(no).lanes {
 			c, tier := in.next(l, b, now, cold)
-			if c == nil {
+			if c == nil || tier == missed && b.gap > 0 { // a turn is for what can be in time
 				continue
 			}
 			isDue := tier != missed && l.vol.reserve > 0 && l.vol.rTag <= now
