--- a/policy/helper.go
+++ b/policy/helper.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -71,3 +72,7 @@
 	k.level, k.at = min(k.level+k.rate*(now-k.at).Seconds(), k.depth), now
 	return k.level
 }
+
+func (in *Instance) log(format string, args ...any) { in.host.Log(fmt.Sprintf(format, args...)) }
+
+func (b *Brick) soon() time.Duration { return b.lat * time.Duration(b.out+1) } // answer to one more command
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,6 +13,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -22,14 +23,14 @@
 )
 
 const (
-	period     = time.Second // of demand and divvy; the window's is 2 Lc
-	growth     = 0.25        // most that a window grows in one of its periods
-	gamma      = 0.5
-	startQuota = 8.0
-	ceiling    = 32
-	congestion = 0.25 // Lc as a part of the shortest service target
-	dueGap     = 4    // what is due waits for this part of a brick's gap
-	never      = time.Duration(math.MaxInt64)
+	period = time.Second // of demand and divvy; the window's is 2 Lc
+	growth = 0.25        // most that a window grows in one of its periods
+	gamma  = 0.5
+
+	startQuota, ceiling = 8.0, 32 // of all hosts; most of one host
+	congestion          = 0.25    // Lc as a part of the shortest service target
+	dueGap              = 4       // what is due waits for this part of a brick's gap
+	never               = time.Duration(math.MaxInt64)
 )
 
 // What can wait for two of the shortest service targets goes after what can't, what missed its own goes last.
@@ -210,10 +211,8 @@
 
 // mayRefuse guards rule 2: a busy reply says that trying again is harmless.
 func (in *Instance) mayRefuse(c *Command) bool {
-	if c.queue.semantics == Retryable || c.queue.semantics == Tagged && c.queue.group == "all" {
-		return true
-	}
-	return !slices.ContainsFunc(c.dispatches, func(d *Dispatch) bool { return d.ran })
+	return c.queue.semantics == Retryable || c.queue.semantics == Tagged && c.queue.group == "all" ||
+		!slices.ContainsFunc(c.dispatches, func(d *Dispatch) bool { return d.ran })
 }
 
 // mayRun guards rules 2, 5 and 7 for a dispatch of c to b.
@@ -271,7 +270,7 @@
 	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
 		b.sum += took
 		b.answers++
-		if took > in.lc {
+		if took > in.lc && !d.lost {
 			b.strikes++
 			in.probe(b)
 		}
@@ -330,9 +329,8 @@
 	}
 	// With few commands of a volume an answer tells of a long time: the rate is over the time since the last.
 	l := c.lane
-	if since := (in.host.Now() - l.told).Seconds(); since > 0 {
-		l.others += (elsewhere/since - l.others) * since / (since + period.Seconds())
-	}
+	since := (in.host.Now() - l.told).Seconds()
+	l.others += (elsewhere - l.others*since) / (since + period.Seconds())
 	l.told, l.heard = in.host.Now(), true
 }
 
@@ -345,8 +343,13 @@
 	}
 }
 
-// start is where the gap opens from: the host's own rate.
-func (in *Instance) start(b *Brick) time.Duration {
+// overdue tells that a dispatch takes far longer than its own work. If the probe that follows is quick its answer
+// was lost: it is called off and its place is free. It hurts where a probe does not wait in turn.
+func (in *Instance) overdue(d *Dispatch, now time.Duration) bool {
+	return now-d.sent > 2*in.lc+time.Duration(6*d.Cmd.queue.work*d.Cmd.units*float64(time.Second))
+}
+
+func (in *Instance) start(b *Brick) time.Duration { // where the gap opens from: the host's own rate
 	return max(b.gap, min(b.every, in.lc*time.Duration(in.hosts)/16), in.lc/4)
 }
 
@@ -387,23 +390,27 @@
 			in.host.Tell(-1, append([]byte{'f'}, b.Name...))
 			in.free(b)
 		}
-	case b.watched || in.host.Now() >= b.stuck && how == TimedOut:
+		for _, d := range b.flying {
+			if c := d.Cmd; in.cancels && !d.lost && !c.over && !c.streaming && in.overdue(d, b.probe.sent) &&
+				len(c.dispatches) < in.maxDispatches && in.mayRun(c, b, in.host.Now()) {
+				d.lost = true
+				in.host.Cancel(d)
+			}
+		}
+	case b.watched || in.host.Now() >= b.stuck && (how == TimedOut || how == Completed && took > in.shortest):
 		in.watch(b)
-	case how == Completed:
-		in.pace(&b.probe, took)
 	}
 }
 
 // Heard is what another host found: a brick is stuck, or free again. Of two that watch the first goes on.
 func (in *Instance) Heard(sender int, data []byte) {
 	for _, b := range in.bricks {
-		if len(data) < 2 || string(data[1:]) != b.Name {
-			continue
-		}
-		if data[0] == 'f' {
+		switch string(data) {
+		case "f" + b.Name:
 			in.free(b)
-		} else if in.stick(b); sender < in.ordinal {
-			b.watched = false
+		case "s" + b.Name:
+			in.stick(b)
+			b.watched = b.watched && sender > in.ordinal
 		}
 	}
 }
@@ -411,16 +418,12 @@
 // serve offers a lane's commands to the bricks that can take them, the one that answers soonest first.
 func (in *Instance) serve(l *lane) {
 	for free := slices.Clone(in.at(l.cell)); len(l.held) > 0; {
-		var best *Brick
-		for _, b := range free {
-			if in.room(b) > 0 && (best == nil || b.soon() < best.soon()) {
-				best = b
-			}
-		}
-		if best == nil {
+		free = slices.DeleteFunc(free, func(b *Brick) bool { return in.room(b) <= 0 })
+		if len(free) == 0 {
 			return
 		}
-		if !in.one(best) { // cold, or too slow for new objects: the next may do
+		best := slices.MinFunc(free, func(a, b *Brick) int { return cmp.Compare(a.soon(), b.soon()) })
+		if !in.one(best) { // cold, or it is not its turn: the next may do
 			free = without(free, best)
 		}
 	}
@@ -643,6 +646,8 @@
 			b.answers++
 			if !in.watches {
 				in.pace(d, age)
+			} else if in.overdue(d, now) {
+				in.probe(b)
 			}
 		}
 	}
@@ -670,9 +675,7 @@
 	mine, sum := 0.0, 0.0
 	for i, p := range divvy(b.quota/in.lc.Seconds()*in.usual, parts) {
 		sum += p.got
-		if p.most > 0 {
-			mine += p.got * lanes[i].demand / p.most
-		}
+		mine += p.got * lanes[i].demand / math.Max(p.most, 1e-9)
 	}
 	b.of = math.Max(1/in.hosts, mine/math.Max(sum, 1e-9))
 	b.window = part(b.quota, b.of)
@@ -720,7 +723,3 @@
 		delete(in.keys, c.object)
 	}
 }
-
-func (in *Instance) log(format string, args ...any) { in.host.Log(fmt.Sprintf(format, args...)) }
-
-func (b *Brick) soon() time.Duration { return b.lat * time.Duration(b.out+1) } // answer to one more command
--- a/policy/state.go
+++ b/policy/state.go
@@ -22,6 +22,7 @@
 // Dispatch is one try of a command at a brick.
 type Dispatch struct {
 	done  bool // completed
+	lost  bool // its answer, as a quick probe showed
 	Cmd   *Command
 	Brick *Brick
 	N     int
