Gone bricks and idle keys are forgotten, so state stays bounded in a long run

Cause looked for: replaced bricks have new names and keys of in-order queue types stayed listed after their rest.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -100,12 +100,15 @@
 }
 
 func (in *Instance) ListEnds() {
-	for _, b := range in.bricks {
+	for _, b := range slices.Clone(in.bricks) {
 		if !b.listed && b.open {
 			b.open = false
 			in.log("close %s: gone from the list, %d out", b.Name, b.out)
 		}
-		in.fill(b)
+		if in.fill(b); !b.listed && b.out == 0 { // replaced bricks have new names: nothing of the old ones is kept
+			b.quota, in.bricks = 0, without(in.bricks, b)
+			in.cellOf(b.cell).bricks = without(in.cellOf(b.cell).bricks, b)
+		}
 	}
 }
 
@@ -606,6 +609,7 @@
 	maps.DeleteFunc(in.refused, func(w wish, tries []time.Duration) bool {
 		return len(tries) == 0 || now-tries[len(tries)-1] > w.queue.timeout+in.advises+period
 	})
+	maps.DeleteFunc(in.keys, func(_ string, k *key) bool { return len(k.line) == 0 && k.rest <= now })
 	for _, b := range in.bricks {
 		in.entitle(b)
 		in.fill(b)
@@ -714,12 +718,7 @@
 
 // leaveLine frees a key once its command is over and no dispatch of it is out.
 func (in *Instance) leaveLine(c *Command) {
-	if c.key == nil || c.out > 0 {
-		return
-	}
-	k := c.key
-	k.line = without(k.line, c)
-	if len(k.line) == 0 && k.rest <= in.host.Now() {
-		delete(in.keys, c.object)
+	if c.key != nil && c.out == 0 {
+		c.key.line = without(c.key.line, c)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -70,6 +70,26 @@
 	//  6025ms dispatch 4.0 to a
 }
 
+// What is gone is forgotten once nothing is out there: replaced bricks have new names, and a long run has many.
+func Example_forgetsGone() {
+	b := start(setting(), "a", "b")
+	b.take("row", "plain", "x", 0, 2)
+	b.in.ListBegins(true)
+	b.list("b", 1, true, 0)
+	b.in.ListEnds()
+	fmt.Println(len(b.in.bricks))
+	b.end(Completed, true)
+	b.in.ListBegins(false)
+	b.in.ListEnds()
+	b.run(time.Second)
+	fmt.Println(len(b.in.bricks), len(b.in.cells[0].bricks), len(b.in.keys))
+	// Output:
+	//     0ms dispatch 1.0 to a
+	//     0ms log: close a: gone from the list, 1 out
+	// 2
+	// 1 0 0
+}
+
 // Commands for one key run one at a time, and the key rests after an outcome that may still run.
 func Example_keyOrder() {
 	b := start(setting(), "a")
