--- a/policy/policy.go
+++ b/policy/policy.go
@@ -315,7 +315,7 @@
 // hosts with one place each, however few their commands, and against a full or dead brick that looks free
 // since it answers fast. It hurts where a slow answer says nothing of the next, or a brick is back unlisted.
 func (in *Instance) pace(d *Dispatch, took time.Duration) {
-	b, factor := d.Brick, math.Min(math.Max(took.Seconds()/in.lc.Seconds(), 0.125), 8)
+	b, factor := d.Brick, math.Min(math.Max(took.Seconds()/in.lc.Seconds(), 0.125), 3)
 	gap := min(time.Duration(factor*float64(d.gap)), 16*in.lc*time.Duration(in.hosts))
 	if gap <= in.lc/4 {
 		gap = 0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -29,7 +29,7 @@
 	// Output:
 	//     0ms dispatch 1.0 to a
 	//     0ms log: suspect a: full or not reached after 0s, 0 out
-	//   100ms dispatch 2.0 to a
+	//    37ms dispatch 2.0 to a
 	//   110ms dispatch 1.1 to a
 	//   130ms abort 1
 }
@@ -134,7 +134,7 @@
 	//     0ms dispatch 1.0 to a
 	//   180ms dispatch 2.0 to a
 	//   200ms dispatch 4.0 to a
-	// 38.55625ms
+	// 37.5ms
 	//   220ms dispatch 3.0 to a
 	// 0s
 }
