Membership asks twice before it suspects, and compares sums instead of everything

Need: at 500 hosts the membership removed living hosts now and then and sent 6677 bytes a host a second, most of it news of suspicions of lost turns and whole memberships asked for each five seconds. Change: a turn without an answer is repeated once before the host is suspected; a host sends 32 sums of what it knows and gets the parts that differ; goodbyes go out twice, to suspected members too. A store on a read-only disk gives back what was kept, and saves fail with a clear word.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -96,7 +96,7 @@
 	if e.peers.conn == nil || err != nil || e.peerNetworks != nil && !e.peerNetworks.Contains(a.Addr().Unmap()) {
 		return
 	}
-	g := &wpb.Gossip{Kind: int32(m.Kind), Seq: m.Seq, From: gossipHost(m.From), About: m.About, Total: int64(m.Total)}
+	g := &wpb.Gossip{Kind: int32(m.Kind), Seq: m.Seq, From: gossipHost(m.From), About: m.About, Total: int64(m.Total), Sums: m.Sums}
 	for _, n := range m.News {
 		g.News = append(g.News, gossipHost(n))
 	}
@@ -171,7 +171,7 @@
 	if proto.Unmarshal(body, g) != nil || g.Kind < 0 || g.Kind > int32(member.Sync) {
 		return m, false
 	}
-	m = member.Message{Kind: member.Kind(g.Kind), Seq: g.Seq, About: g.About, Total: int(g.Total)}
+	m = member.Message{Kind: member.Kind(g.Kind), Seq: g.Seq, About: g.About, Total: int(g.Total), Sums: g.Sums}
 	if m.From, ok = memberOf(g.From); !ok {
 		return m, false
 	}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -17,6 +17,8 @@
 	"math/rand"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State of a member, in the order in which news of one incarnation overrides.
@@ -48,8 +50,8 @@
 	Ping Kind = iota
 	Ack
 	Ask  // ping About for me
-	Join // tell me all
-	Sync // all
+	Join // tell me all that differs from Sums
+	Sync // what differs
 )
 
 // Message is what hosts send each other. Any may be lost, doubled or late.
@@ -57,11 +59,15 @@
 	Kind  Kind
 	Seq   uint64
 	From  Member
-	About string // of Ask, and of an Ack that answers one
-	Total int    // of Sync: how many members its sender knows
+	About string   // of Ask, and of an Ack that answers one
+	Total int      // of Sync: how many members its sender knows
+	Sums  []uint64 // of Join: what its sender knows, in parts by name; none: it knows nothing
 	News  []Member
 }
 
+// Parts into which what is known is summed up for Join: one news missed costs one part of the whole, not all of it.
+const sums = 32
+
 // Ways are the group's ways out. No call may block or come back.
 type Ways interface {
 	Send(address string, m Message)
@@ -101,11 +107,11 @@
 }
 
 type probe struct {
-	name   string
-	seq    uint64
-	at     time.Duration
-	asked  bool // others were asked to try
-	answer func(now time.Duration)
+	name  string
+	seq   uint64
+	at    time.Duration
+	asked bool // others were asked to try
+	again bool // the turn before was unanswered too
 }
 
 // Group is one host's membership. It is not safe for concurrent use.
@@ -236,9 +242,12 @@
 		return
 	}
 	g.next = now + g.rules.Every
+	var again *entry // a turn lost says little where messages are lost: the host has another before all are told to suspect it
 	if p := g.probe; p != nil {
 		g.probe = nil
-		if e := g.members[p.name]; e != nil && e.State == Alive {
+		if e := g.members[p.name]; e != nil && e.State == Alive && !p.again {
+			again = e
+		} else if e != nil && e.State == Alive {
 			g.apply(Member{Name: e.Name, Ordinal: e.Ordinal, Address: e.Address, Planned: e.Planned, Incarnation: e.Incarnation,
 				State: Suspect}, now)
 		}
@@ -248,12 +257,16 @@
 		g.send(g.seeds[g.rng.Intn(len(g.seeds))], Message{Kind: Join})
 	} else if g.turns%g.rules.Whole == 0 {
 		for _, e := range g.some(1, "") {
-			g.send(e.Address, Message{Kind: Join})
+			g.send(e.Address, Message{Kind: Join, Sums: g.sums()})
 		}
 	}
-	if e := g.turn(); e != nil {
+	e := again
+	if e == nil {
+		e = g.turn()
+	}
+	if e != nil {
 		g.seq++
-		g.probe = &probe{name: e.Name, seq: g.seq, at: now}
+		g.probe = &probe{name: e.Name, seq: g.seq, at: now, again: again != nil}
 		g.send(e.Address, Message{Kind: Ping, Seq: g.seq})
 	}
 	g.tell()
@@ -384,8 +397,18 @@
 	case Ping:
 		g.send(from.Address, Message{Kind: Ack, Seq: m.Seq, News: about})
 	case Join:
-		all := g.Members()
-		for part := range slices.Chunk(all, 4*g.rules.News) {
+		all, mine := g.Members(), []uint64(nil)
+		if len(m.Sums) == sums {
+			mine = g.sums()
+		}
+		differ := slices.DeleteFunc(slices.Clone(all), func(x Member) bool {
+			i, _ := sum(x)
+			return mine != nil && mine[i] == m.Sums[i]
+		})
+		if len(differ) == 0 {
+			g.send(from.Address, Message{Kind: Sync, Seq: m.Seq, Total: len(all)})
+		}
+		for part := range slices.Chunk(differ, 4*g.rules.News) {
 			g.send(from.Address, Message{Kind: Sync, Seq: m.Seq, Total: len(all), News: part})
 		}
 	case Sync:
@@ -415,6 +438,20 @@
 	g.tell()
 }
 
+// sum is a member's part and what it adds to the sum of that part.
+func sum(m Member) (part int, word uint64) {
+	return int(xxhash.Sum64String(m.Name) % sums), xxhash.Sum64String(fmt.Sprint(m.Name, " ", m.Incarnation, " ", int(m.State)))
+}
+
+func (g *Group) sums() []uint64 {
+	all := make([]uint64, sums)
+	for _, m := range g.Members() {
+		i, word := sum(m)
+		all[i] ^= word
+	}
+	return all
+}
+
 // apply weighs one piece of news: a higher incarnation wins, within one the later state.
 func (g *Group) apply(m Member, now time.Duration) {
 	if m.Name == g.self.Name {
@@ -465,8 +502,14 @@
 	g.self.Incarnation++
 	m := g.self
 	m.State = Left
-	for _, e := range g.some(2*g.rules.Helpers+2, "") {
-		g.ways.Send(e.Address, Message{Kind: Ping, From: g.self, News: []Member{m}})
+	told := 0
+	for _, name := range g.order { // a goodbye that nobody hears keeps a part for a day: the suspected hear it too, each twice
+		if e := g.members[name]; e != nil && e.State <= Suspect && told < 2*g.rules.Helpers+2 {
+			told++
+			for range 2 {
+				g.ways.Send(e.Address, Message{Kind: Ping, From: g.self, News: []Member{m}})
+			}
+		}
 	}
 	g.gone = true
 }
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -66,7 +66,7 @@
 
 func (x *node) Send(address string, m Message) {
 	n := x.net
-	n.bytes += 40 + 28*(1+len(m.News)) // what the names, numbers and states take on the wire, about
+	n.bytes += 40 + 28*(1+len(m.News)) + 9*len(m.Sums) // what the names, numbers and states take on the wire, about
 	var to int
 	fmt.Sscan(address, &to)
 	for range 1 + n.rng.Intn(20)/19 { // now and then one is doubled
@@ -284,7 +284,7 @@
 		left, ok2 := n.agree(hosts-hosts*3/10, 5*time.Minute)
 		t.Logf("%d hosts: all joined after %v, false removals %d in a minute, %.0f bytes a host a second; agreed on 30%% gone after %v",
 			hosts, joined, wrong, rate, left)
-		if !ok1 || !ok2 || wrong > 0 && hosts <= 100 { // at 500 some are removed for a moment; the table tells how often
+		if !ok1 || !ok2 || wrong > 0 {
 			t.Errorf("%d hosts: joined %v, agreed %v, false removals %d", hosts, ok1, ok2, wrong)
 		}
 	}
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -36,11 +37,27 @@
 	held map[string]decide.Belief
 	// hosts as written
 	hosts []member.Member
+	fixed bool // the disk is read-only
 }
 
+// opener opens files; os.OpenFile is one.
+type opener func(name string, flag int, perm os.FileMode) (*os.File, error)
+
+// ErrReadOnly is returned by saves where the disk takes no writes. What was kept there is read all the same.
+var ErrReadOnly = errors.New("the disk is read-only: the next start finds what was kept before, no more")
+
 // Open opens or makes a file. What can't be read is moved to a name of its own, which aside tells; the store is then empty.
 func Open(file, host string) (s *Store, aside string, err error) {
-	s, err = open(file, host)
+	return openWith(os.OpenFile, file, host)
+}
+
+func openWith(f opener, file, host string) (s *Store, aside string, err error) {
+	s, err = open(f, file, host, false)
+	if errors.Is(err, syscall.EROFS) || errors.Is(err, os.ErrPermission) {
+		if s, rerr := open(f, file, host, true); rerr == nil {
+			return s, "", nil
+		}
+	}
 	if err == nil || errors.Is(err, ErrLocked) || errors.Is(err, os.ErrPermission) {
 		return s, "", err
 	}
@@ -52,26 +69,26 @@
 	if err := os.Rename(file, aside); err != nil {
 		return nil, "", fmt.Errorf("store %s can't be read (%w) nor set aside: %w", file, why, err)
 	}
-	if s, err = open(file, host); err != nil {
+	if s, err = open(f, file, host, false); err != nil {
 		return nil, aside, err
 	}
 	return s, fmt.Sprintf("%s (%v)", aside, why), nil
 }
 
-func open(file, host string) (s *Store, err error) {
+func open(f opener, file, host string, fixed bool) (s *Store, err error) {
 	defer func() {
 		if p := recover(); p != nil { // bbolt panics on some torn pages
 			err = fmt.Errorf("store %s is torn: %v", file, p)
 		}
 	}()
-	db, err := bbolt.Open(file, 0o600, &bbolt.Options{Timeout: 200 * time.Millisecond})
+	db, err := bbolt.Open(file, 0o600, &bbolt.Options{Timeout: 200 * time.Millisecond, OpenFile: f, ReadOnly: fixed})
 	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, fmt.Errorf("store %s: %w", file, ErrLocked)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w", file, err)
 	}
-	s = &Store{db: db, host: host, held: map[string]decide.Belief{}}
+	s = &Store{db: db, host: host, held: map[string]decide.Belief{}, fixed: fixed}
 	all, _, err := s.Load()
 	if err != nil {
 		db.Close()
@@ -89,7 +106,7 @@
 
 // Dump reads a file that no host has open; it changes nothing and sets nothing aside.
 func Dump(file, host string) (all []decide.Belief, hosts []member.Member, last decide.Generation, err error) {
-	s, err := open(file, host)
+	s, err := open(os.OpenFile, file, host, false)
 	if err != nil {
 		return nil, nil, last, err
 	}
@@ -157,6 +174,9 @@
 	if len(put)+len(drop) == 0 {
 		return 0, nil
 	}
+	if s.fixed {
+		return 0, fmt.Errorf("save the fleet: %w", ErrReadOnly)
+	}
 	err = s.db.Update(func(tx *bbolt.Tx) error {
 		m, err := tx.CreateBucketIfNotExists(metaBucket)
 		if err != nil {
@@ -227,6 +247,9 @@
 	if slices.Equal(all, s.hosts) {
 		return nil
 	}
+	if s.fixed {
+		return fmt.Errorf("save the hosts: %w", ErrReadOnly)
+	}
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		if tx.Bucket(hostBucket) != nil {
 			if err := tx.DeleteBucket(hostBucket); err != nil {
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -182,6 +182,39 @@
 	}
 }
 
+// A disk that takes no writes gives back what was kept, fails saves with a clear word, and is left as it is.
+func TestReadOnlyDisk(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "fleet.db")
+	s, _ := mustOpen(t, file, "h")
+	if _, err := s.Save(bricks(3, 1), decide.Generation{Number: 4}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	before, _ := os.ReadFile(file)
+	s, aside, err := openWith(func(name string, flag int, perm os.FileMode) (*os.File, error) {
+		if flag&(os.O_RDWR|os.O_WRONLY) != 0 {
+			return nil, &os.PathError{Op: "open", Path: name, Err: syscall.EROFS}
+		}
+		return os.OpenFile(name, flag, perm)
+	}, file, "h")
+	if err != nil || aside != "" {
+		t.Fatal(err, aside)
+	}
+	defer s.Close()
+	if all, last, err := s.Load(); err != nil || len(all) != 3 || last.Number != 4 {
+		t.Errorf("%v, %d lines of list %d", err, len(all), last.Number)
+	}
+	if _, err := s.Save(bricks(4, 2), decide.Generation{Number: 5}); !errors.Is(err, ErrReadOnly) {
+		t.Error(err)
+	}
+	if err := s.SaveHosts([]member.Member{{Name: "x"}}); !errors.Is(err, ErrReadOnly) {
+		t.Error(err)
+	}
+	if after, _ := os.ReadFile(file); string(after) != string(before) {
+		t.Error("the file changed")
+	}
+}
+
 // What one changed line, and a whole list, cost as the list grows.
 func BenchmarkSave(b *testing.B) {
 	for _, n := range []int{10, 100, 1000} {
