Hosts record their load: a bounded ring of compressed blocks on disk

Need: the capacity planner learns from what hosts met; nothing recorded it. Change: the host loop tells a tap of each command that is over; internal/capture writes blocks (length-delimited protobuf, Zstandard, CRC) to a ring of segments, off the loop, dropping and counting what the disk does not take; objects only as keyed hashes. weirctl capture start, stop, info, cut, merge; merging aligns the hosts' clocks by the bricks' starts that they share (internal/capture/align, no I/O).

--- /dev/null
+++ b/internal/ctl/capture.go
@@ -0,0 +1,141 @@
+package ctl
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"weirhaven/internal/capture"
+	"weirhaven/internal/lineproto"
+	"weirhaven/internal/wpb"
+)
+
+type captureCmd struct {
+	Start captureStart `cmd:"" help:"Let a host record its load."`
+	Stop  captureStop  `cmd:"" help:"Let it stop; what it took is on disk then."`
+	Info  captureInfo  `cmd:"" help:"What a host records now, or what is in captures on disk."`
+	Cut   captureCut   `cmd:"" help:"Keep a stretch of a capture."`
+	Merge captureMerge `cmd:"" help:"Put captures of several hosts together, by aligned clocks."`
+}
+
+type captureStart struct {
+	Edge string `required:"" help:"Address where clients reach the host." placeholder:"ADDR"`
+}
+
+func (c *captureStart) Run() error { return tape(c.Edge, "start") }
+
+type captureStop struct {
+	Edge string `required:"" help:"Address where clients reach the host." placeholder:"ADDR"`
+}
+
+func (c *captureStop) Run() error { return tape(c.Edge, "stop") }
+
+func tape(edge, action string) error {
+	b, err := ask(edge, lineproto.Tape, "Action", action)
+	if err == nil {
+		fmt.Print(string(b))
+	}
+	return err
+}
+
+type captureInfo struct {
+	Edge  string   `help:"Address where clients reach the host." placeholder:"ADDR" xor:"from"`
+	Paths []string `arg:"" optional:"" help:"Folders or files (*.wcap)."`
+}
+
+func (c *captureInfo) Run() error {
+	if c.Edge != "" {
+		return tape(c.Edge, "info")
+	}
+	if len(c.Paths) == 0 {
+		return fmt.Errorf("name a host with --edge, or captures on disk")
+	}
+	l, err := capture.Read(c.Paths...)
+	if err != nil {
+		return err
+	}
+	describe(l)
+	return nil
+}
+
+func describe(l *capture.Load) {
+	commands, dispatches, finals := 0, 0, map[wpb.CapturedCommand_Final]int{}
+	volumes, bricks, hosts := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for _, x := range l.Lines {
+		if m := x.GetCommand(); m != nil {
+			commands++
+			dispatches += len(m.Dispatch)
+			finals[m.Final]++
+			volumes[m.Volume], hosts[m.Host] = true, true
+		} else if b := x.GetBrick(); b != nil {
+			bricks[b.Name] = true
+		}
+	}
+	from, to := l.Span()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "files\t%d\n", l.Files)
+	fmt.Fprintf(w, "from\t%s\n", time.Unix(0, int64(from)).UTC().Format(time.RFC3339Nano))
+	fmt.Fprintf(w, "span\t%v\n", (to - from).Round(time.Millisecond))
+	fmt.Fprintf(w, "commands\t%d by %d hosts, of %d volumes\n", commands, len(hosts), len(volumes))
+	fmt.Fprintf(w, "final answers\t%d completed, %d busy-replied, %d aborted, %d left\n", finals[0], finals[1], finals[2], finals[3])
+	fmt.Fprintf(w, "dispatches\t%d to %d bricks\n", dispatches, len(bricks))
+	fmt.Fprintf(w, "lost lines\t%d\n", l.Lost)
+	fmt.Fprintf(w, "torn\t%d blocks, %d bytes\n", l.Torn.Blocks, l.Torn.Bytes)
+	w.Flush()
+}
+
+type captureCut struct {
+	Paths []string      `arg:"" help:"Folders or files (*.wcap)."`
+	From  time.Duration `help:"Counted from the first command."`
+	To    time.Duration `help:"Counted from the first command." default:"8760h"`
+	Out   string        `required:"" help:"File to write." placeholder:"FILE"`
+}
+
+func (c *captureCut) Run() error {
+	l, err := capture.Read(c.Paths...)
+	if err != nil {
+		return err
+	}
+	return write(l.Cut(c.From, c.To), c.Out)
+}
+
+type captureMerge struct {
+	Paths []string `arg:"" help:"Folders or files (*.wcap)."`
+	Out   string   `required:"" help:"File to write." placeholder:"FILE"`
+}
+
+func (c *captureMerge) Run() error {
+	l, err := capture.Read(c.Paths...)
+	if err != nil {
+		return err
+	}
+	if err := l.Align(); err != nil {
+		fmt.Fprintln(os.Stderr, "weirctl:", err, "; their times stand as they are")
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOST\tMOVED BY\tSURE TO\tSTARTS SHARED")
+	for _, o := range l.Offset {
+		fmt.Fprintf(w, "%s\t%v\t%v\t%d\n", o.Host, o.Add, o.Spread, o.Marks)
+	}
+	w.Flush()
+	return write(l, c.Out)
+}
+
+func write(l *capture.Load, file string) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	out := bufio.NewWriter(f)
+	if err := l.Write(out); err != nil {
+		f.Close()
+		return err
+	}
+	if err := out.Flush(); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -38,6 +38,7 @@
 		Dump   fleetDump   `cmd:"" help:"The same from a store on disk."`
 		Forget fleetForget `cmd:"" help:"Let a host forget a brick with its drain, or another host with its part."`
 	} `cmd:"" help:"What hosts believe of the fleet."`
+	Capture captureCmd `cmd:"" help:"The load that hosts record."`
 	Standin struct {
 		Brick  standinBrick  `cmd:"" help:"A stand-in for a brick."`
 		Lister standinLister `cmd:"" help:"A stand-in for the list service."`
--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -110,7 +110,8 @@
 func BenchmarkThrough(b *testing.B) {
 	more, straight := idleBricks(b, 8)
 	address, _ := hostOf(b, fast+more)
-	for _, c := range []struct{ name, address, role string }{{"host", address, "client"}, {"straight", straight, "host"}} {
+	taped, _ := hostOf(b, fast+more+fmt.Sprintf("capture { folder: %q on: true }\n", b.TempDir()))
+	for _, c := range []struct{ name, address, role string }{{"host", address, "client"}, {"capturing", taped, "client"}, {"straight", straight, "host"}} {
 		b.Run(c.name, func(b *testing.B) {
 			b.ReportAllocs()
 			n := max(b.N, 64)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"go4.org/netipx"
 
 	"weirhaven/internal/brickconn"
+	"weirhaven/internal/capture"
 	"weirhaven/internal/fleet/member"
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/settings"
@@ -44,7 +45,8 @@
 	lister *lister
 	peers  *peers
 
-	peerNetworks *netipx.IPSet // nil: anywhere
+	taping       *capture.Writer // nil: the load is not recorded
+	peerNetworks *netipx.IPSet   // nil: anywhere
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -83,6 +85,12 @@
 	}
 	core := hostloop.New(settings.Policy(conf, time.Now().UnixNano()), rules, o.Start, e, e.volumes(), e.limits.Probe,
 		e.loop.Now())
+	if err := e.openCapture(core); err != nil {
+		return err
+	}
+	if e.taping != nil {
+		defer e.taping.Close()
+	}
 	if len(conf.Brick) > 0 {
 		core.Known(known(conf.Brick))
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/goleak"
 
+	"weirhaven/internal/capture"
 	"weirhaven/internal/fleet/decide"
 	"weirhaven/internal/fleet/store"
 	"weirhaven/internal/hostloop"
@@ -557,6 +558,59 @@
 	return s.Instance.Taken(c, queue, plan, object, cell, hosts, units, giveUp, repeat)
 }
 
+// An operator turns the capture on while the host serves; what was answered until "stop" came back is on disk, and names no object.
+func TestCapture(t *testing.T) {
+	b := newBrick(t, "b0")
+	dir := t.TempDir()
+	a, stop := host(t, fmt.Sprintf("capture { folder: %q }\n", dir), b)
+	c := dial(t, a)
+	tape := func(action, want string) {
+		t.Helper()
+		c.say(lineproto.Tape, 99, func(o *lineproto.Out) { o.Text("Action", action) })
+		if m := c.read(t); !strings.Contains(string(m.Body)+m.Get("Reason"), want) {
+			t.Errorf("%s: %s %q %s, want %q", action, m.Verb, m.Body, m.Get("Reason"), want)
+		}
+	}
+	c.run(1, "read")
+	at := b.accept()
+	at.say(lineproto.Done, at.read(t).ID, nil)
+	want(t, c.read(t), lineproto.Done, 1)
+	tape("info", "capture off")
+	tape("start", "capture on since")
+	for i := range uint64(3) {
+		c.run(2+i, "read")
+		id := at.read(t).ID
+		at.say(lineproto.Abort, id, nil)
+		at.say(lineproto.Done, at.read(t).ID, nil)
+		want(t, c.read(t), lineproto.Done, 2+i)
+	}
+	tape("stop", "lines written")
+	tape("wind", "allowed: start, stop, info")
+	l, err := capture.Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, marks := 0, 0
+	for _, x := range l.Lines {
+		if m := x.GetCommand(); m != nil {
+			n++
+			if m.Volume != "v" || m.Plan != "plain" || m.Object == 0 || len(m.Dispatch) != 2 || m.Dispatch[0].How != int32(policy.Errored) ||
+				m.Dispatch[1].How != int32(policy.Completed) || m.Dispatch[1].Brick != "b0" || m.Took <= m.Dispatch[0].Took {
+				t.Error(m)
+			}
+		} else if m := x.GetBrick(); m != nil && m.Name == "b0" {
+			marks++
+		}
+	}
+	if n != 3 || marks == 0 || l.Heads[0].QueueType[0].Name != "read" {
+		t.Error(n, marks, l.Heads)
+	}
+	stop()
+	a, _ = host(t, "", newBrick(t, "b0"))
+	c = dial(t, a)
+	tape("start", "no capture")
+}
+
 func TestParseList(t *testing.T) {
 	parse := func(clock, body string) (decide.Generation, bool, []hostloop.BrickLine, error) {
 		var o lineproto.Out
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -154,6 +154,13 @@
 	case lineproto.Fleet:
 		all, hosts, last, _ := s.edge.beliefs()
 		s.sender.Send(o.Start(lineproto.Done, m.ID).End([]byte(Table(all, hosts, last, s.edge.loop.Now()))).B)
+	case lineproto.Tape:
+		text, err := s.edge.tape(m.Get("Action"))
+		if err != nil {
+			s.refuse(m.ID, err)
+			return
+		}
+		s.sender.Send(o.Start(lineproto.Done, m.ID).End([]byte(text)).B)
 	case lineproto.Forget:
 		done := make(chan bool, 1)
 		name, host := m.Get("Brick"), m.Get("Host")
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -82,7 +82,7 @@
 			if t != nil {
 				s.edge.loop.Post(func(c *hostloop.Core) { c.Gone(t) })
 			}
-		case lineproto.Fleet, lineproto.Forget:
+		case lineproto.Fleet, lineproto.Forget, lineproto.Tape:
 			s.operate(m)
 		default:
 			s.refuse(m.ID, fmt.Errorf("unknown verb %s", m.Verb))
--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -58,6 +58,31 @@
 	Log(line string)
 }
 
+// Tap hears of each command once it is over and of what is known of bricks. No call may block.
+type Tap interface {
+	On() bool
+	Over(p *Past)
+	Brick(name, zone string, cell int, serving, gone bool, started, now time.Duration)
+}
+
+// Past is a command that is over.
+type Past struct {
+	Volume, Plan, QueueType, Object string
+	Cell, Body                      int
+	Units                           float64
+	Repeat                          bool
+	At, Took, Timeout               time.Duration
+	How                             Final // LeftBy: its client went away first
+	Tries                           []Try
+}
+
+// Try is one of its dispatches.
+type Try struct {
+	Brick    string
+	At, Took time.Duration
+	How      policy.Ending
+}
+
 // Answer is a final answer.
 type Answer struct {
 	How        Final
@@ -74,9 +99,10 @@
 	Completed Final = iota
 	BusyReplied
 	Aborted
+	LeftBy // no answer: the client went away
 )
 
-func (f Final) String() string { return [...]string{"completed", "busy-replied", "aborted"}[f] }
+func (f Final) String() string { return [...]string{"completed", "busy-replied", "aborted", "left"}[f] }
 
 // Task is a command as a client sent it.
 type Task struct {
@@ -115,6 +141,7 @@
 	ran    bool // a dispatch may have run
 	over   bool
 	begun  bool
+	past   *Past // nil: nobody hears of it
 }
 
 type dispatch struct {
@@ -123,6 +150,7 @@
 	cmd  *command
 	to   *brick // nil: a brick that was dropped
 	at   time.Duration
+	try  int // its place among the tries heard of
 	over bool
 }
 
@@ -135,6 +163,8 @@
 	policy.Brick
 	line    Line
 	address string
+	zone    string
+	cell    int
 	out     int
 	gone    bool          // it was taken away
 	serving bool          // as the module was told
@@ -192,6 +222,7 @@
 	ids        uint64
 	closing    bool
 	counts     Counts
+	tap        Tap // nil: nobody hears of what is over
 }
 
 // New makes a Core whose module is made by start, at a clock that stands at now.
@@ -210,6 +241,9 @@
 	return c
 }
 
+// Tap lets t hear of what is over from now on.
+func (c *Core) Tap(t Tap) { c.tap = t }
+
 // Advance moves the clock, never back, and fires what is due. Call it before each event and at Next.
 func (c *Core) Advance(now time.Duration) {
 	c.now = max(c.now, now)
@@ -288,6 +322,10 @@
 	c.ids++
 	x := &command{Command: policy.Command{ID: int64(c.ids), Volume: &v.Volume}, task: t, giveUp: c.now + timeout}
 	t.cmd = x
+	if c.tap != nil && c.tap.On() {
+		x.past = &Past{Volume: t.Volume, Plan: plan, QueueType: t.QueueType, Object: t.Object, Cell: t.Cell, Body: len(t.Body), Units: t.Units,
+			Repeat: t.Repeat, At: c.now, Timeout: timeout, Tries: make([]Try, 0, 1)}
+	}
 	c.commands[x.ID] = x
 	c.counts.Taken++
 	c.counts.Held++
@@ -305,6 +343,9 @@
 		return
 	}
 	x.over = true
+	if x.past != nil {
+		x.past.How, x.past.Took = LeftBy, c.now-x.past.At
+	}
 	c.counts.Left++
 	c.counts.Held--
 	c.in.Left(&x.Command)
@@ -318,6 +359,9 @@
 		return
 	}
 	x.over = true
+	if x.past != nil {
+		x.past.How, x.past.Took = a.How, c.now-x.past.At
+	}
 	c.counts.Held--
 	switch a.How {
 	case Completed:
@@ -335,6 +379,10 @@
 func (c *Core) forget(x *command) {
 	if x.over && len(x.outs) == 0 {
 		delete(c.commands, x.ID)
+		if x.past != nil {
+			c.tap.Over(x.past)
+			x.past = nil
+		}
 	}
 }
 
@@ -381,6 +429,9 @@
 	delete(c.dispatches, d.id)
 	c.counts.Out--
 	x.outs = slices.DeleteFunc(x.outs, func(o *dispatch) bool { return o == d })
+	if x.past != nil {
+		x.past.Tries[d.try].Took, x.past.Tries[d.try].How = c.now-d.at, how
+	}
 	if how == policy.TimedOut && d.to != nil && d.to.line != nil {
 		d.to.line.Forget(d.id)
 	}
@@ -495,6 +546,9 @@
 	started := time.Duration(0)
 	if dated {
 		started = c.now - max(age, 0)
+		if b := c.bricks[name]; c.tap != nil && b != nil {
+			c.tap.Brick(name, b.zone, b.cell, b.serving && !draining, b.gone, started, c.now)
+		}
 	}
 	c.fleet.OwnWord(name, address, started, draining, c.now)
 	c.told()
@@ -533,7 +587,10 @@
 	if b.serving && !serving { // a drain is worth telling at once
 		c.shareAt = c.now
 	}
-	b.gone, b.serving, c.moved = gone, serving, true
+	b.gone, b.serving, b.zone, b.cell, c.moved = gone, serving, zone, cell, true
+	if c.tap != nil {
+		c.tap.Brick(name, zone, cell, serving, gone, boot, c.now)
+	}
 	c.in.Listed(&b.Brick, zone, cell, serving, gone, boot)
 }
 
@@ -693,6 +750,10 @@
 	o := &dispatch{Dispatch: d, id: c.ids, cmd: x, to: b, at: c.now}
 	c.dispatches[o.id] = o
 	x.outs = append(x.outs, o)
+	if x.past != nil {
+		o.try = len(x.past.Tries)
+		x.past.Tries = append(x.past.Tries, Try{Brick: d.Brick.Name, At: c.now})
+	}
 	c.counts.Out++
 	if b != nil {
 		b.out++
--- a/internal/lineproto/lineproto.go
+++ b/internal/lineproto/lineproto.go
@@ -38,6 +38,7 @@
 	Drain  = "DRAIN"  // the sender takes nothing new
 	Fleet  = "FLEET"  // an operator asks what is believed
 	Forget = "FORGET" // an operator lets a host forget a brick
+	Tape   = "TAPE"   // an operator starts, stops or asks after the capture of the load
 	Bad    = "BAD"    // what was sent can't be understood; it had no effect
 )
 
