--- /dev/null
+++ b/internal/capacity/model/brick.go
@@ -0,0 +1,269 @@
+// Package model is a brick as learnt from a capture, in virtual time: cores, a queue in turn of arrival, work by queue type and
+// units, a cache of the last pieces, deferred work of writes, pauses, a cold start with its ramp. It has no I/O, clock or
+// goroutine; who drives it tells the time.
+package model
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+
+	"weirhaven/internal/wpb"
+)
+
+// Config is what a brick is made of.
+type Config struct {
+	Name         string
+	Zone         string
+	Cell         int
+	Kind         *wpb.CapacityModel_KindModel
+	Cores        int
+	Queue        int // 0: as many as come
+	Speed        float64
+	Cancel       wpb.BrickCancel
+	DropsExpired bool
+	Writes       map[string]bool
+	ColdFrom     float64 // 1: it is warm
+	ColdFor      time.Duration
+	FallMultiple float64
+	FallAfter    time.Duration
+	Seed         int64
+	Start        time.Duration
+	MeanWork     float64                            // of a queue type that the capture shows none of
+	workBy       map[string]*wpb.CapacityModel_Work // by queue type
+}
+
+// Job is one dispatch at a brick.
+type Job struct {
+	ID      uint64
+	Host    int
+	Queue   string
+	Volume  string
+	Units   float64
+	Object  uint64
+	First   bool // the command's first dispatch: what a cache remembers
+	Until   time.Duration
+	Arrived time.Duration
+	work    float64
+	gone    bool
+}
+
+// Brick is one while it serves.
+type Brick struct {
+	c        Config
+	rng      *rand.Rand
+	waiting  []*Job
+	cores    []core
+	recent   []uint64
+	deferred float64
+	flushAt  time.Duration
+	pauseAt  time.Duration
+	pressed  []press
+	// Busy is the work done so far, in core time; Fell tells whether it was pushed over; Pressure is the most that it was sent while
+	// cold, as a part of what pushes it over.
+	Busy     time.Duration
+	Fell     bool
+	Pressure float64
+	// Turned counts what found the queue full.
+	Turned int
+}
+
+type core struct {
+	job  *Job
+	ends time.Duration // 0: idle
+}
+
+type press struct {
+	at   time.Duration
+	work float64
+}
+
+// New brings one up.
+func New(c Config) *Brick {
+	c.Cores = max(c.Cores, 1)
+	if c.Speed <= 0 {
+		c.Speed = 1
+	}
+	if c.ColdFrom <= 0 {
+		c.ColdFrom = 1
+	}
+	c.workBy = map[string]*wpb.CapacityModel_Work{}
+	for _, w := range c.Kind.Work {
+		c.workBy[w.QueueType] = w
+	}
+	b := &Brick{c: c, rng: rand.New(rand.NewSource(c.Seed)), cores: make([]core, c.Cores)}
+	b.flushAt, b.pauseAt = never, never
+	if c.Kind.Flush > 0 {
+		b.flushAt = c.Start + time.Duration(b.rng.Float64()*c.Kind.Flush*float64(time.Second))
+	}
+	if c.Kind.Pause > 0 && c.Kind.PauseEvery > 0 {
+		b.pauseAt = c.Start + time.Duration(b.rng.ExpFloat64()*c.Kind.PauseEvery*float64(time.Second))
+	}
+	return b
+}
+
+const never = time.Duration(math.MaxInt64)
+
+// Config is what it is made of.
+func (b *Brick) Config() Config { return b.c }
+
+// Work is the mean work of a dispatch on a core of speed 1, in seconds.
+func Work(k *wpb.CapacityModel_KindModel, queue string, units, mean float64) float64 {
+	for _, w := range k.Work {
+		if w.QueueType == queue && w.Samples > 0 {
+			return w.Base + w.Unit*units
+		}
+	}
+	return mean * units
+}
+
+// Ramp is the part of its capacity that it has.
+func (b *Brick) Ramp(now time.Duration) float64 {
+	age := now - b.c.Start
+	if b.c.ColdFrom >= 1 || b.c.ColdFor <= 0 || age >= b.c.ColdFor {
+		return 1
+	}
+	return b.c.ColdFrom + (1-b.c.ColdFrom)*float64(age)/float64(b.c.ColdFor)
+}
+
+// Arrive takes a dispatch; false: turned away unseen.
+func (b *Brick) Arrive(j *Job, now time.Duration) bool {
+	k := b.c.Kind
+	j.Arrived, j.work = now, Work(k, j.Queue, j.Units, b.c.MeanWork)
+	if w := b.c.workBy[j.Queue]; w != nil && w.Vary > 0 {
+		s := math.Sqrt(math.Log(1 + w.Vary*w.Vary))
+		j.work *= math.Exp(s*b.rng.NormFloat64() - s*s/2)
+	}
+	if k.Remembers > 0 && j.First && j.Object != 0 {
+		if slices.Contains(b.recent, j.Object) {
+			j.work *= 1 - k.Saves
+		} else if b.recent = append(b.recent, j.Object); len(b.recent) > int(k.Remembers) {
+			b.recent = b.recent[1:]
+		}
+	}
+	b.press(j.work, now)
+	if b.Fell || b.c.Queue > 0 && len(b.waiting) >= b.c.Queue {
+		b.Turned++
+		return false
+	}
+	b.waiting = append(b.waiting, j)
+	b.begin(now)
+	return true
+}
+
+// press is the rule by which a cold brick is pushed over.
+func (b *Brick) press(work float64, now time.Duration) {
+	if b.c.FallAfter <= 0 || b.Ramp(now) >= 1 {
+		b.pressed = nil
+		return
+	}
+	b.pressed = append(b.pressed, press{now, work})
+	sum, from := 0.0, 0
+	for i, p := range b.pressed {
+		if now-p.at >= b.c.FallAfter {
+			from = i + 1
+			continue
+		}
+		sum += p.work
+	}
+	b.pressed = b.pressed[from:]
+	most := b.c.FallMultiple * b.c.Speed * float64(b.c.Cores) * b.Ramp(now) * b.c.FallAfter.Seconds()
+	b.Pressure = math.Max(b.Pressure, sum/math.Max(most, 1e-9))
+	b.Fell = b.Fell || sum > most
+}
+
+// begin lets free cores take what waits; what is deferred goes first when it is due.
+func (b *Brick) begin(now time.Duration) {
+	for i := range b.cores {
+		c := &b.cores[i]
+		for c.ends == 0 {
+			work, j := 0.0, (*Job)(nil)
+			switch {
+			case b.deferred > 0 && now >= b.flushAt:
+				work, b.deferred = b.deferred, 0
+				b.flushAt = now + time.Duration(b.c.Kind.Flush*float64(time.Second))
+			case len(b.waiting) > 0:
+				j = b.waiting[0]
+				b.waiting = b.waiting[1:]
+				if b.c.DropsExpired && now > j.Until {
+					continue
+				}
+				work = j.work
+				if b.c.Writes[j.Queue] && b.c.Kind.Deferred > 0 {
+					b.deferred += work * b.c.Kind.Deferred
+					work *= 1 - b.c.Kind.Deferred
+				}
+			default:
+				return
+			}
+			took := time.Duration(work / (b.c.Speed * b.Ramp(now)) * float64(time.Second))
+			b.Busy += took
+			if now >= b.pauseAt { // it stands still for a while, then goes on
+				took += time.Duration(b.c.Kind.Pause * float64(time.Second))
+				b.pauseAt = now + time.Duration(b.rng.ExpFloat64()*b.c.Kind.PauseEvery*float64(time.Second))
+			}
+			c.job, c.ends = j, now+max(took, 1)
+		}
+	}
+}
+
+// Next is when something is done; false: nothing runs.
+func (b *Brick) Next() (at time.Duration, ok bool) {
+	at = never
+	for _, c := range b.cores {
+		if c.ends > 0 && c.ends < at {
+			at = c.ends
+		}
+	}
+	return at, at != never
+}
+
+// Advance lets time pass until now and calls done for each job that ends, in order.
+func (b *Brick) Advance(now time.Duration, done func(j *Job, at time.Duration)) {
+	for {
+		i, at := -1, never
+		for k, c := range b.cores {
+			if c.ends > 0 && c.ends <= now && c.ends < at {
+				i, at = k, c.ends
+			}
+		}
+		if i < 0 {
+			return
+		}
+		j := b.cores[i].job
+		b.cores[i] = core{}
+		b.begin(at)
+		if j != nil && !j.gone {
+			done(j, at)
+		}
+	}
+}
+
+// Cancel calls a dispatch off.
+func (b *Brick) Cancel(host int, id uint64, now time.Duration) {
+	if b.c.Cancel == wpb.BrickCancel_CANCEL_IGNORED {
+		return
+	}
+	b.waiting = slices.DeleteFunc(b.waiting, func(j *Job) bool { return j.Host == host && j.ID == id })
+	if b.c.Cancel != wpb.BrickCancel_CANCEL_STOPS {
+		return
+	}
+	for i, c := range b.cores {
+		if c.job != nil && c.job.Host == host && c.job.ID == id {
+			b.Busy -= c.ends - now
+			b.cores[i] = core{}
+			b.begin(now)
+		}
+	}
+}
+
+// Held are the jobs in it.
+func (b *Brick) Held() (all []*Job) {
+	for _, c := range b.cores {
+		if c.job != nil {
+			all = append(all, c.job)
+		}
+	}
+	return append(all, b.waiting...)
+}
