--- /dev/null
+++ b/internal/capacity/verify/verify.go
@@ -0,0 +1,307 @@
+// Package verify holds forecasts against what stand-in bricks on loopback then did: a drill is recorded, its bricks are learnt, and
+// each case is forecast and run.
+package verify
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"weirhaven/internal/capacity/bounds"
+	"weirhaven/internal/capacity/forecast"
+	"weirhaven/internal/capacity/learn"
+	"weirhaven/internal/capacity/place"
+	"weirhaven/internal/capacity/wants"
+	"weirhaven/internal/capture"
+	"weirhaven/internal/drill"
+	"weirhaven/internal/settings"
+	"weirhaven/internal/wpb"
+)
+
+// Figures are what is compared.
+type Figures struct {
+	InTarget float64
+	P99      time.Duration // until the completed had their answer
+	Use      float64       // of the bricks' cores, in the mean
+}
+
+// Case is one to be forecast and run.
+type Case struct {
+	Name   string
+	Drill  func(d *wpb.Drill)
+	Wants  func(all []wants.Want, rng *rand.Rand) []wants.Want
+	Events []forecast.Event
+	Fleet  func(f *wpb.CapacityFleet) (*wpb.CapacityFleet, error)
+}
+
+// Row is a case's forecast, what was measured, and what a mean rate over a mean work would have said.
+type Row struct {
+	Case                      string
+	Forecast, Measured, Naive Figures
+	Off                       [3]float64 // of the forecast, as a part of what was measured
+	NaiveOff                  [3]float64
+}
+
+// Within tells whether all three figures are.
+func within(off [3]float64, part float64) bool {
+	return !slices.ContainsFunc(off[:], func(x float64) bool { return math.Abs(x) > part })
+}
+
+// Good tells whether the forecast, and the naive one, are within a part of what was measured.
+func (r Row) Good(part float64) (forecast, naive bool) {
+	return within(r.Off, part), within(r.NaiveOff, part)
+}
+
+const caseLength = 14 * time.Second
+
+func demand(times float64) func(d *wpb.Drill) {
+	return func(d *wpb.Drill) {
+		for _, v := range d.Volumes {
+			v.Demand *= times
+		}
+	}
+}
+
+func scaled(times float64) func(all []wants.Want, rng *rand.Rand) []wants.Want {
+	return func(all []wants.Want, rng *rand.Rand) []wants.Want { return wants.Scale(all, times, rng) }
+}
+
+// Cases are the ten.
+func Cases(d *wpb.Drill, f *wpb.CapacityFleet) []Case {
+	kind := f.Kind[0].Name
+	with := func(n int) func(f *wpb.CapacityFleet) (*wpb.CapacityFleet, error) {
+		return func(f *wpb.CapacityFleet) (*wpb.CapacityFleet, error) { return place.With(f, kind, n) }
+	}
+	last := f.Brick[len(f.Brick)-1].Zone
+	var lost []forecast.Event
+	var cells []uint32
+	for _, b := range f.Brick {
+		if b.Zone == last {
+			lost = append(lost, forecast.Event{At: 4 * time.Second, Brick: b.Name, Down: true}, forecast.Event{At: 8 * time.Second, Brick: b.Name})
+			cells = append(cells, b.Cell)
+		}
+	}
+	crash := func(on []uint32) func(d *wpb.Drill) {
+		return func(d *wpb.Drill) {
+			d.Trouble = append(d.Trouble, &wpb.Trouble{Kind: wpb.Trouble_BRICK_CRASH, At: "4s", On: on, Back: "4s"})
+		}
+	}
+	return []Case{
+		{Name: "as recorded", Drill: demand(1), Wants: scaled(1)},
+		{Name: "load x 0.6", Drill: demand(0.6), Wants: scaled(0.6)},
+		{Name: "load x 1.25", Drill: demand(1.25), Wants: scaled(1.25)},
+		{Name: "load x 1.5", Drill: demand(1.5), Wants: scaled(1.5)},
+		{Name: "load x 2", Drill: demand(2), Wants: scaled(2)},
+		{Name: "surge of plan basic x 4", Drill: func(d *wpb.Drill) {
+			d.Trouble = append(d.Trouble, &wpb.Trouble{Kind: wpb.Trouble_PLAN_BURST, At: "4s", Length: "5s", Size: 4, Plan: "basic"})
+		}, Wants: func(all []wants.Want, rng *rand.Rand) []wants.Want {
+			var calm, surge []wants.Want
+			for _, w := range all {
+				if w.Plan == "basic" && w.At >= 4*time.Second && w.At < 9*time.Second {
+					surge = append(surge, w)
+				} else {
+					calm = append(calm, w)
+				}
+			}
+			out := append(calm, wants.Scale(surge, 4, rng)...)
+			slices.SortStableFunc(out, func(a, b wants.Want) int { return int(a.At - b.At) })
+			return out
+		}},
+		{Name: "one brick fewer", Drill: func(d *wpb.Drill) { d.Bricks[len(d.Bricks)-1].Count-- }, Wants: scaled(1), Fleet: with(len(f.Brick) - 1)},
+		{Name: "two bricks more, load x 1.5", Drill: func(d *wpb.Drill) { demand(1.5)(d); d.Bricks[0].Count += 2 }, Wants: scaled(1.5),
+			Fleet: with(len(f.Brick) + 2)},
+		{Name: "zone " + last + " lost for 4 s", Drill: crash(cells), Wants: scaled(1), Events: lost},
+		{Name: "one host lost for 4 s", Drill: func(d *wpb.Drill) {
+			d.Trouble = append(d.Trouble, &wpb.Trouble{Kind: wpb.Trouble_HOST_CRASH, At: "4s", On: []uint32{1}, Back: "4s"})
+		}, Wants: scaled(1), Events: []forecast.Event{{At: 4 * time.Second, Host: "host-1", Down: true}, {At: 8 * time.Second, Host: "host-1"}}},
+	}
+}
+
+// Learnt is what was recorded and read off it.
+type Learnt struct {
+	Fleet *wpb.CapacityFleet
+	Model *wpb.CapacityModel
+	Wants []wants.Want
+	Load  *capture.Load
+}
+
+// Record plays a drill with its hosts capturing, and learns from it.
+func Record(ctx context.Context, d *wpb.Drill, o drill.Options) (*Learnt, error) {
+	dir, err := os.MkdirTemp("", "weirhaven-verify-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	o.Capture = filepath.Join(dir, "capture")
+	if _, err := drill.Run(ctx, d, o); err != nil {
+		return nil, err
+	}
+	l, err := capture.Read(o.Capture)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.Align(); err != nil {
+		return nil, err
+	}
+	f := drill.Describe(d)
+	w, clients := wants.Unfold(l.Lines)
+	m, err := learn.Model(l.Lines, f, clients)
+	if err != nil {
+		return nil, err
+	}
+	return &Learnt{f, m, w, l}, nil
+}
+
+// Run forecasts one case and plays it.
+func Run(ctx context.Context, d *wpb.Drill, l *Learnt, c Case, o drill.Options) (Row, error) {
+	row := Row{Case: c.Name}
+	f, load := l.Fleet, l.Wants
+	if c.Fleet != nil {
+		g, err := c.Fleet(f)
+		if err != nil {
+			return row, err
+		}
+		load = place.Spread(load, f, g, place.CostOf(l.Model, f), bounds.Speeds(f, l.Model))
+		f = g
+	}
+	load = c.Wants(wants.Cut(load, 0, caseLength), rand.New(rand.NewSource(o.Seed)))
+	r, err := forecast.Run(forecast.Scenario{Fleet: f, Model: l.Model, Wants: load, Events: c.Events, Seed: o.Seed})
+	if err != nil {
+		return row, err
+	}
+	row.Forecast = Of(r)
+	row.Naive = naive(f, l.Model, load)
+	day := proto.Clone(d).(*wpb.Drill)
+	day.Length = caseLength.String()
+	c.Drill(day)
+	got, err := drill.Run(ctx, day, o)
+	if err != nil {
+		return row, err
+	}
+	row.Measured = measured(day, got)
+	row.Off, row.NaiveOff = off(row.Forecast, row.Measured), off(row.Naive, row.Measured)
+	return row, nil
+}
+
+func off(a, b Figures) [3]float64 {
+	part := func(x, y float64) float64 { return x/math.Max(y, 1e-9) - 1 }
+	return [3]float64{part(a.InTarget, b.InTarget), part(a.P99.Seconds(), b.P99.Seconds()), part(a.Use, b.Use)}
+}
+
+// Of are the figures of a forecast.
+func Of(r *forecast.Result) Figures {
+	t := r.Total()
+	x := Figures{InTarget: t.Part(), P99: t.Quantile(0.99)}
+	for _, b := range r.Bricks {
+		x.Use += b.Mean() / float64(len(r.Bricks))
+	}
+	return x
+}
+
+// measured reads the same figures off what crossed the sockets.
+func measured(d *wpb.Drill, r *drill.Result) (x Figures) {
+	type want struct {
+		at, done int64
+		queue    uint32
+		left     bool
+	}
+	wanted, first := map[uint64]*want{}, map[uint64]uint64{}
+	works, begun := map[string]float64{}, int64(-1)
+	capacity, n, end := 0.0, 0.0, int64(0)
+	for _, s := range r.Seen {
+		switch s.What {
+		case wpb.Seen_BRICK_UP:
+			if n < float64(bricks(d)) {
+				capacity += s.Capacity
+				n++
+			}
+		case wpb.Seen_ASKED:
+			if begun < 0 {
+				begun = s.At
+			}
+			end = s.At
+			first[s.Command] = s.First
+			if wanted[s.First] == nil {
+				wanted[s.First] = &want{at: s.At, queue: s.QueueType}
+			}
+		case wpb.Seen_ANSWERED:
+			if w := wanted[first[s.Command]]; w != nil && s.How == "DONE" && w.done == 0 {
+				w.done = s.At
+			}
+		case wpb.Seen_UNANSWERED:
+			if w := wanted[first[s.Command]]; w != nil && s.How == "left" {
+				w.left = true
+			}
+		case wpb.Seen_REACHED:
+			works[fmt.Sprint(s.Brick, s.Connection, s.Command, s.Dispatch)] = s.Work
+		case wpb.Seen_REPLIED:
+			if s.How == "DONE" {
+				x.Use += works[fmt.Sprint(s.Brick, s.Connection, s.Command, s.Dispatch)]
+			}
+		}
+	}
+	all, good := 0, 0
+	var took []time.Duration
+	for _, w := range wanted {
+		if w.left {
+			continue
+		}
+		all++
+		if w.done == 0 {
+			continue
+		}
+		t := time.Duration(w.done - w.at)
+		took = append(took, t)
+		if t <= settings.Duration(d.QueueType[w.queue].ServiceTarget, 0) {
+			good++
+		}
+	}
+	slices.Sort(took)
+	if len(took) > 0 {
+		x.P99 = took[min(len(took)*99/100, len(took)-1)]
+	}
+	x.InTarget = float64(good) / math.Max(float64(all), 1)
+	x.Use /= capacity * math.Max(time.Duration(end-begun).Seconds(), 1e-9)
+	return x
+}
+
+func bricks(d *wpb.Drill) (n uint32) {
+	for _, g := range d.Bricks {
+		n += g.Count
+	}
+	return n
+}
+
+// naive is what a mean rate over a mean work says: one queue for all bricks (M/M/c by its busy part, waits exponential).
+func naive(f *wpb.CapacityFleet, m *wpb.CapacityModel, load []wants.Want) (x Figures) {
+	cost, speed, capacity, work := place.CostOf(m, f), bounds.Speeds(f, m), 0.0, 0.0
+	for _, b := range f.Brick {
+		capacity += speed(b)
+	}
+	target := 0.0
+	targets := map[string]float64{}
+	for _, q := range f.QueueType {
+		targets[q.Name] = settings.Duration(q.ServiceTarget, 0).Seconds()
+	}
+	for i := range load {
+		work += cost(&load[i])
+		target += targets[load[i].Type] / float64(len(load))
+	}
+	span := load[len(load)-1].At.Seconds()
+	each := work / float64(len(load)) / (capacity / float64(len(f.Brick)))
+	x.Use = math.Min(work/span/capacity, 1)
+	if x.Use >= 1 {
+		x.InTarget, x.P99 = capacity*span/work, time.Duration(target*float64(time.Second))
+		return x
+	}
+	stay := each / (1 - x.Use)
+	x.InTarget, x.P99 = 1-math.Exp(-target/stay), time.Duration(stay*math.Log(100)*float64(time.Second))
+	return x
+}
--- /dev/null
+++ b/internal/ctl/capacity.go
@@ -0,0 +1,182 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"weirhaven/internal/capacity/bounds"
+	"weirhaven/internal/capacity/decide"
+	"weirhaven/internal/capacity/learn"
+	"weirhaven/internal/capacity/report"
+	"weirhaven/internal/capacity/study"
+	"weirhaven/internal/capacity/wants"
+	"weirhaven/internal/capture"
+	"weirhaven/internal/settings"
+	"weirhaven/internal/wpb"
+)
+
+type capacityCmd struct {
+	Answer capacityAnswer `cmd:"" default:"withargs" help:"The first limit as the load grows, the least servers for goals, what a loss does."`
+	Learn  capacityLearn  `cmd:"" help:"How bricks and clients behave, as a capture shows; printed with its fit."`
+	Verify capacityVerify `cmd:"" help:"Record a drill, forecast it with more load, fewer bricks, a zone lost, run each on loopback, compare."`
+}
+
+type capacityInputs struct {
+	Load  []string `required:"" help:"Captures: folders or files (*.wcap)." placeholder:"PATH"`
+	Fleet string   `required:"" type:"existingfile" help:"The fleet described (proto/capacity.proto); weirctl fleet export writes one." placeholder:"FILE"`
+}
+
+// read reads and aligns a capture and checks the fleet described.
+func (c *capacityInputs) read() (*capture.Load, *wpb.CapacityFleet, error) {
+	f := &wpb.CapacityFleet{}
+	if err := settings.Load(c.Fleet, f); err != nil {
+		return nil, nil, err
+	}
+	l, err := capture.Read(c.Load...)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := l.Align(); err != nil {
+		fmt.Fprintln(os.Stderr, "weirctl:", err, "; their times are taken as they are")
+	}
+	return l, f, nil
+}
+
+type capacityLearn struct {
+	capacityInputs
+	Out string `help:"Write the model here, protobuf text format." placeholder:"FILE"`
+}
+
+func (c *capacityLearn) Run() error {
+	l, f, err := c.read()
+	if err != nil {
+		return err
+	}
+	m, _, err := learnt(l, f, c.Load)
+	if err != nil {
+		return err
+	}
+	report.Model(os.Stdout, m)
+	if c.Out == "" {
+		return nil
+	}
+	text, err := settings.Text(m)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.Out, text, 0o644)
+}
+
+func learnt(l *capture.Load, f *wpb.CapacityFleet, paths []string) (*wpb.CapacityModel, []wants.Want, error) {
+	w, clients := wants.Unfold(l.Lines)
+	m, err := learn.Model(l.Lines, f, clients)
+	if err != nil {
+		return nil, nil, err
+	}
+	if in, err := report.Digest(paths...); err == nil && len(in) > 0 {
+		m.Capture = in[0].SHA256[:16]
+	}
+	return m, w, nil
+}
+
+// captured tells what bounds need of the capture itself.
+func captured(l *capture.Load) (in bounds.Input) {
+	held := time.Duration(0)
+	for _, x := range l.Lines {
+		if m := x.GetCommand(); m != nil {
+			in.Commands++
+			in.Further += float64(max(len(m.Dispatch)-1, 0))
+			held += time.Duration(m.Took)
+		}
+	}
+	if in.Commands > 0 {
+		in.Held = held / time.Duration(in.Commands)
+	}
+	from, to := l.Span()
+	in.Span = to - from
+	return in
+}
+
+type capacityAnswer struct {
+	capacityInputs
+	Model     string        `type:"existingfile" help:"A model learnt before; none: it is learnt from the load." placeholder:"FILE"`
+	Goal      []string      `help:"Such as 'plan=priority target>=0.99' or 'queue=read p99<=250ms'; several count together. None: target>=0.95." sep:"none"`
+	Lose      []string      `help:"zone=NAME, brick=NAME or host=NAME; several at once with commas. More than one --lose: each by itself." sep:"none"`
+	Gone      time.Duration `help:"What is lost is gone this long before its replacement comes up cold." default:"15s"`
+	Servers   bool          `help:"Look for the least servers of each kind, too."`
+	Only      bool          `help:"Leave out the search for the first limit."`
+	Seed      int64         `default:"1" help:"All chance comes from it."`
+	Stretch   time.Duration `default:"20s" help:"Length of what is played at a time."`
+	Stretches int           `default:"5" help:"How many stretches are played, the heaviest always."`
+	Jobs      int           `help:"So many at once; 0: as many as there are cores."`
+	Out       string        `help:"Put answer.txt, answer.json and charts into this folder." placeholder:"DIR"`
+}
+
+func (c *capacityAnswer) Run() error {
+	start := time.Now()
+	l, f, err := c.read()
+	if err != nil {
+		return err
+	}
+	var m *wpb.CapacityModel
+	var w []wants.Want
+	if c.Model == "" {
+		m, w, err = learnt(l, f, c.Load)
+	} else {
+		m = &wpb.CapacityModel{}
+		err = settings.Load(c.Model, m)
+		w, _ = wants.Unfold(l.Lines)
+	}
+	if err != nil {
+		return err
+	}
+	var goals []decide.Goal
+	for _, text := range c.Goal {
+		g, err := decide.ParseGoal(text)
+		if err != nil {
+			return err
+		}
+		goals = append(goals, g)
+	}
+	s := &study.Study{Fleet: f, Model: m, Wants: w, Goals: goals, Seed: c.Seed, Length: c.Stretch, Stretches: c.Stretches, Jobs: c.Jobs, Captured: captured(l),
+		Progress: func(line string) {
+			fmt.Fprintf(os.Stderr, "%6.1fs %s\n", time.Since(start).Seconds(), line)
+		}}
+	if err := s.Prepare(); err != nil {
+		return err
+	}
+	a := &report.Answer{Commands: int(s.Captured.Commands), Wants: len(w), Folded: int(m.Client.GetFolded()), Lost: l.Lost, Torn: l.Torn.Blocks, Span: s.Captured.Span,
+		Seed: c.Seed, Capacity: s.Capacity(), Work: s.Work(), Limits: s.Limits(f, w)}
+	if a.Inputs, err = report.Digest(append(c.Load, c.Fleet)...); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if !c.Only {
+		if a.Growth, err = s.Grow(ctx); err != nil {
+			return err
+		}
+	}
+	if c.Servers || len(c.Goal) > 0 && !c.Only {
+		if a.Servers, err = s.Least(ctx); err != nil {
+			return err
+		}
+	}
+	for _, what := range c.Lose {
+		loss, err := s.Lose(ctx, what, c.Gone)
+		if err != nil {
+			return err
+		}
+		a.Losses = append(a.Losses, loss)
+	}
+	a.Took = time.Since(start)
+	report.Text(os.Stdout, a)
+	if c.Out != "" {
+		return report.Write(c.Out, a)
+	}
+	return nil
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -36,10 +37,12 @@
 	Fleet struct {
 		Show   fleetShow   `cmd:"" help:"What a host believes of each brick, how old, from whom, why."`
 		Dump   fleetDump   `cmd:"" help:"The same from a store on disk."`
+		Export fleetExport `cmd:"" help:"Write the fleet as a host believes it, for the capacity planner."`
 		Forget fleetForget `cmd:"" help:"Let a host forget a brick with its drain, or another host with its part."`
 	} `cmd:"" help:"What hosts believe of the fleet."`
-	Capture captureCmd `cmd:"" help:"The load that hosts record."`
-	Standin struct {
+	Capacity capacityCmd `cmd:"" help:"What breaks first as the load grows, how many servers it takes, what a loss does."`
+	Capture  captureCmd  `cmd:"" help:"The load that hosts record."`
+	Standin  struct {
 		Brick  standinBrick  `cmd:"" help:"A stand-in for a brick."`
 		Lister standinLister `cmd:"" help:"A stand-in for the list service."`
 		Client standinClient `cmd:"" help:"A stand-in for clients."`
@@ -87,6 +90,7 @@
 	Ages     []time.Duration `help:"Play the drill without its list service, from saved lists of these ages, and with it, same seed; print a table." placeholder:"AGE"`
 	Length   time.Duration   `help:"So long instead, the troubles again and again."`
 	State    time.Duration   `help:"Hosts log what they hold this often (JSON, to --logs); a table tells whether it stays flat."`
+	Capture  string          `help:"Let hosts record their load into this folder; fleet.txtpb there describes the fleet." placeholder:"DIR"`
 	Logs     string          `help:"Append what the hosts log to this file." placeholder:"FILE"`
 }
 
@@ -110,6 +114,21 @@
 	if c.Length > 0 {
 		d = drill.Stretch(d, c.Length)
 	}
+	if c.Capture != "" {
+		if c.Seeds > 1 || c.Baseline != "" {
+			return errors.New("--capture takes one run: no --seeds, no --baseline")
+		}
+		text, err := settings.Text(drill.Describe(d))
+		if err == nil {
+			err = os.MkdirAll(c.Capture, 0o755)
+		}
+		if err == nil {
+			err = os.WriteFile(filepath.Join(c.Capture, "fleet.txtpb"), text, 0o644)
+		}
+		if err != nil {
+			return err
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	var logs io.Writer
@@ -190,7 +209,7 @@
 		if i > 0 {
 			host = []string{self, "edge", "--bound", "--baseline", name}
 		}
-		r, err := drill.Run(ctx, d, drill.Options{Seed: seed, Host: host, Arm: name, Logs: logs, State: c.State})
+		r, err := drill.Run(ctx, d, drill.Options{Seed: seed, Host: host, Arm: name, Logs: logs, State: c.State, Capture: c.Capture})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -50,6 +50,18 @@
 	return err
 }
 
+type fleetExport struct {
+	Edge string `required:"" help:"Address where clients reach the host." placeholder:"ADDR"`
+}
+
+func (c *fleetExport) Run() error {
+	b, err := ask(c.Edge, lineproto.Fleet, "Form", "txtpb")
+	if err == nil {
+		fmt.Print(string(b))
+	}
+	return err
+}
+
 type fleetForget struct {
 	Name string `arg:"" help:"Name of a brick, or with --host of a host that sends nothing any more."`
 	Host bool   `help:"It is a host: others may use its part from now on. Only if it is surely gone."`
--- /dev/null
+++ b/internal/ctl/verify.go
@@ -0,0 +1,70 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"weirhaven/internal/capacity/report"
+	"weirhaven/internal/capacity/verify"
+	"weirhaven/internal/drill"
+)
+
+type capacityVerify struct {
+	Drill string  `default:"capacity" help:"The drill that is recorded."`
+	Seed  int64   `default:"1" help:"All chance comes from it."`
+	Only  string  `help:"Cases with this in their name."`
+	Aim   float64 `default:"0.15" help:"A case is good if all its figures are off by at most this part."`
+}
+
+func (c *capacityVerify) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d, err := drill.Load(c.Drill)
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	o := drill.Options{Seed: c.Seed, Host: []string{self, "edge", "--bound"}}
+	fmt.Fprintln(os.Stderr, "recording", d.Name, "for", d.Length)
+	l, err := verify.Record(ctx, d, o)
+	if err != nil {
+		return err
+	}
+	report.Model(os.Stdout, l.Model)
+	fmt.Println()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CASE\tIN TARGET\tFORECAST\tOFF\tNAIVE\tP99\tFORECAST\tOFF\tNAIVE\tUSE\tFORECAST\tOFF\tNAIVE\tGOOD\tNAIVE GOOD")
+	good, naive, all := 0, 0, 0
+	for _, x := range verify.Cases(d, l.Fleet) {
+		if !strings.Contains(x.Name, c.Only) {
+			continue
+		}
+		fmt.Fprintln(os.Stderr, "case", x.Name)
+		r, err := verify.Run(ctx, d, l, x, o)
+		if err != nil {
+			return err
+		}
+		m, f, n := r.Measured, r.Forecast, r.Naive
+		g, ng := r.Good(c.Aim)
+		if all++; g {
+			good++
+		}
+		if ng {
+			naive++
+		}
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%+.0f%%\t%.3f\t%v\t%v\t%+.0f%%\t%v\t%.3f\t%.3f\t%+.0f%%\t%.3f\t%v\t%v\n", x.Name, m.InTarget, f.InTarget, 100*r.Off[0], n.InTarget,
+			m.P99.Round(time.Millisecond), f.P99.Round(time.Millisecond), 100*r.Off[1], n.P99.Round(time.Millisecond), m.Use, f.Use, 100*r.Off[2], n.Use, g, ng)
+	}
+	w.Flush()
+	fmt.Printf("\n%d of %d forecasts within %.0f%%; of the naive ones %d\n", good, all, 100*c.Aim, naive)
+	return nil
+}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -72,6 +72,8 @@
 	Logs io.Writer
 	// State lets hosts log what they hold this often, as JSON; 0: not.
 	State time.Duration
+	// Capture lets hosts record their load into this folder.
+	Capture string
 	// Blur is how late the observer may read; 0: 50 ms.
 	Blur time.Duration
 }
@@ -136,6 +138,11 @@
 	}
 	defer os.RemoveAll(dir)
 	r := &runner{d: d, o: o, rng: rand.New(rand.NewSource(o.Seed)), rec: record.New(), dir: dir, tags: map[string]*brick.Tags{}}
+	if o.Capture != "" { // one key for all hosts, gone with the run
+		if err := os.WriteFile(filepath.Join(dir, "key"), fmt.Appendf(nil, "capture key of drill seed %d", o.Seed), 0o600); err != nil {
+			return nil, err
+		}
+	}
 	// An address of the loopback range that no other run uses: ports stay this run's own while a host is away.
 	pid := os.Getpid()
 	r.ip = fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+runs.Add(1)%250)
@@ -408,6 +415,9 @@
 			e.Peer = append(e.Peer, &wpb.Peer{Ordinal: uint32(x.no), Address: x.peers})
 		}
 	}
+	if r.o.Capture != "" {
+		e.Capture = &wpb.Capture{Folder: r.o.Capture, Key: filepath.Join(r.dir, "key"), On: true}
+	}
 	if r.o.State > 0 {
 		e.Log = &wpb.Log{Form: "json", State: r.o.State.String()}
 	}
@@ -558,6 +568,31 @@
 	return string(t.buf)
 }
 
+// Describe is a drill's fleet as an operator would describe it: names, places, queues. How its bricks work is left to be learnt.
+func Describe(d *wpb.Drill) *wpb.CapacityFleet {
+	f := &wpb.CapacityFleet{Rules: d.Fleet, QueueType: d.QueueType, Plan: d.Plan, Bounds: d.Bounds}
+	for _, k := range d.Kind {
+		f.Kind = append(f.Kind, &wpb.ServerKind{Name: k.Name, Cores: 1, Queue: k.Queue, DropsExpired: k.DropsExpired, Cancel: wpb.BrickCancel(k.Cancel)})
+	}
+	for _, g := range d.Bricks {
+		for range g.Count {
+			n := len(f.Brick)
+			f.Brick = append(f.Brick, &wpb.Server{Name: fmt.Sprintf("brick-%d", n+1), Kind: g.Kind, Zone: g.Zone, Cell: uint32(n)})
+		}
+	}
+	for i := range d.Hosts {
+		f.Host = append(f.Host, &wpb.HostLine{Name: fmt.Sprintf("host-%d", i), Zone: d.Bricks[0].Zone})
+	}
+	n := 0
+	for _, g := range d.Volumes {
+		for range g.Count {
+			f.Volume = append(f.Volume, &wpb.PlacedVolume{Name: volumeName(g.Plan, n), Plan: g.Plan, Hosts: min(g.Hosts, d.Hosts)})
+			n++
+		}
+	}
+	return f
+}
+
 // Stretch makes a drill that is so long, its troubles played again and again.
 func Stretch(d *wpb.Drill, length time.Duration) *wpb.Drill {
 	long := proto.Clone(d).(*wpb.Drill)
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -14,6 +14,8 @@
 	"weirhaven/internal/fleet/store"
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/lineproto"
+	"weirhaven/internal/settings"
+	"weirhaven/internal/wpb"
 )
 
 // keeper keeps what the loop believes of the fleet on disk. A disk that is full, read-only or slow costs the next start its
@@ -142,6 +144,30 @@
 	return b.String()
 }
 
+// described is the fleet as this host believes it, for the capacity planner. What a host can't know an operator adds: kinds of
+// bricks and their cores, how much a host carries, cells of volumes that no capture shows.
+func (e *Edge) described(all []decide.Belief, hosts []member.Member) *wpb.CapacityFleet {
+	c := e.conf
+	f := &wpb.CapacityFleet{Rules: c.Fleet, QueueType: c.QueueType, Plan: c.Plan, Bounds: c.Bounds, Kind: []*wpb.ServerKind{{Name: "brick", Cores: 1}}}
+	for _, b := range all {
+		if !b.Gone {
+			f.Brick = append(f.Brick, &wpb.Server{Name: b.Name, Kind: "brick", Zone: b.Zone, Cell: uint32(max(b.Cell, 0))})
+		}
+	}
+	for _, h := range hosts {
+		if h.State != member.Left {
+			f.Host = append(f.Host, &wpb.HostLine{Name: h.Name})
+		}
+	}
+	if len(f.Host) == 0 {
+		f.Host = []*wpb.HostLine{{Name: c.Name, Zone: c.Zone}}
+	}
+	for _, v := range c.Volume {
+		f.Volume = append(f.Volume, &wpb.PlacedVolume{Name: v.Name, Plan: v.Plan, Hosts: v.Hosts})
+	}
+	return f
+}
+
 // operate answers an operator's verbs on a client connection. They are taken from this machine only.
 func (s *session) operate(m *lineproto.Message) {
 	var o lineproto.Out
@@ -153,6 +179,15 @@
 	switch m.Verb {
 	case lineproto.Fleet:
 		all, hosts, last, _ := s.edge.beliefs()
+		if m.Get("Form") == "txtpb" {
+			text, err := settings.Text(s.edge.described(all, hosts))
+			if err != nil {
+				s.refuse(m.ID, err)
+				return
+			}
+			s.sender.Send(o.Start(lineproto.Done, m.ID).End(text).B)
+			return
+		}
 		s.sender.Send(o.Start(lineproto.Done, m.ID).End([]byte(Table(all, hosts, last, s.edge.loop.Now()))).B)
 	case lineproto.Tape:
 		text, err := s.edge.tape(m.Get("Action"))
