Planner: what it may write and when, an edge's view, store, keys; the list connection apart

Need: edge and planner apart. Change: proto/plan.proto (gRPC); internal/plan/decide (tenure, lease by a majority of edges, recovery from what edges report, drains that add up, views and changes, admission in turn, places) and internal/plan/view (what an edge takes of whom), both without I/O; internal/plan/store (bbolt); internal/keys (mutual TLS, files read again when they change); internal/listconn out of internal/edge, so that the planner can read lists too. Not wired yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,8 +16,10 @@
 
 	"weirhaven/internal/brickconn"
 	"weirhaven/internal/capture"
+	"weirhaven/internal/fleet/decide"
 	"weirhaven/internal/fleet/member"
 	"weirhaven/internal/hostloop"
+	"weirhaven/internal/listconn"
 	"weirhaven/internal/settings"
 	"weirhaven/internal/wpb"
 	"weirhaven/policy"
@@ -42,7 +44,7 @@
 	log    *slog.Logger
 	loop   *hostloop.Loop
 	lines  *brickconn.Lines
-	lister *lister
+	lister *listconn.Conn
 	peers  *peers
 
 	taping       *capture.Writer // nil: the load is not recorded
@@ -77,7 +79,8 @@
 	}
 	e.loop = hostloop.NewLoop(e.limits.LoopQueue)
 	e.lines = brickconn.New(conf.Name, e.loop, e.limits, e.log)
-	e.lister = newLister(e)
+	e.lister = listconn.New(listconn.Config{Address: conf.ListService, Name: conf.Name, Asked: conf.Fleet.ListAsked, Limits: e.limits,
+		Seed: time.Now().UnixNano() + int64(conf.Ordinal), Log: e.log, Sink: listSink{e.loop}})
 
 	rules, err := settings.Beliefs(conf)
 	if err != nil {
@@ -117,7 +120,7 @@
 		defer close(kept)
 		keep.run(keeping)
 	})
-	e.spawn(func() { e.lister.run(inner) })
+	e.spawn(func() { e.lister.Run(inner) })
 	e.spawn(func() { e.peers.run(inner) })
 	e.spawn(func() { e.accept(inner, l) })
 	if every := settings.Duration(conf.GetLog().GetState(), 0); every > 0 {
@@ -233,11 +236,20 @@
 // Line, Watch, ListAll, Tell and Log are the loop's ways out.
 
 func (e *Edge) Line(brick, address string) hostloop.Line { return e.lines.Line(brick, address) }
-func (e *Edge) Watch(on bool)                            { e.lister.watch(on) }
-func (e *Edge) ListAll()                                 { e.lister.all() }
+func (e *Edge) Watch(on bool)                            { e.lister.Watch(on) }
+func (e *Edge) ListAll()                                 { e.lister.All() }
 func (e *Edge) Tell(peer int, data []byte)               { e.peers.tell(peer, data) }
 func (e *Edge) Log(line string)                          { e.log.Info(line, "from", "module") }
 
+// listSink hands what the list service says to the loop.
+type listSink struct{ loop *hostloop.Loop }
+
+func (l listSink) List(g decide.Generation, whole bool, lines []hostloop.BrickLine) {
+	l.loop.Post(func(c *hostloop.Core) { c.List(g, whole, lines) })
+}
+func (l listSink) ListFailed() { l.loop.Post(func(c *hostloop.Core) { c.ListFailed() }) }
+func (l listSink) ListHolds()  { l.loop.Offer(func(c *hostloop.Core) { c.ListHolds() }) }
+
 func (e *Edge) accept(ctx context.Context, l net.Listener) {
 	full := false
 	for {
--- a/internal/edge/lister.go
+++ b/internal/listconn/listconn.go
@@ -1,4 +1,5 @@
-package edge
+// Package listconn is a connection to the list service: it keeps connected, asks, and hands on what it hears.
+package listconn
 
 import (
 	"bufio"
@@ -6,50 +7,74 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"weirhaven/internal/fleet/decide"
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/lineproto"
+	"weirhaven/internal/settings"
 )
 
-// lister is this host's connection to the list service.
-type lister struct {
-	edge *Edge
+// Sink hears of lists. No call may block for long.
+type Sink interface {
+	List(g decide.Generation, whole bool, lines []hostloop.BrickLine)
+	ListFailed()
+	ListHolds() // the connection stands: what was told last still holds
+}
+
+// Config is a connection's.
+type Config struct {
+	Address string // none: every ask fails
+	Name    string // of this side, in greetings
+	Asked   bool   // the list comes only when asked for
+	Limits  settings.Limits
+	Seed    int64
+	Log     *slog.Logger
+	Sink    Sink
+}
+
+// Conn is a connection to the list service.
+type Conn struct {
+	c    Config
 	asks chan string // verbs to send; bounded
 }
 
-func newLister(e *Edge) *lister { return &lister{edge: e, asks: make(chan string, 4)} }
+// New is not connected before Run.
+func New(c Config) *Conn { return &Conn{c: c, asks: make(chan string, 4)} }
 
-func (l *lister) watch(on bool) {
+// Watch asks for changes from now on.
+func (l *Conn) Watch(on bool) {
 	if on {
 		l.ask(lineproto.Watch)
 	}
 }
 
-func (l *lister) all() { l.ask(lineproto.All) }
+// All asks for the whole list once.
+func (l *Conn) All() { l.ask(lineproto.All) }
 
-func (l *lister) ask(verb string) {
+func (l *Conn) ask(verb string) {
 	select {
 	case l.asks <- verb:
 	default: // as many asks wait already
 	}
 }
 
-// run keeps connected. Where the list is pushed the connection is made again and again, at times of this host's own;
+// Run keeps connected until ctx ends. Where the list is pushed the connection is made again and again, at times of this host's own;
 // where it is asked for, a failure goes to the module, which asks again.
-func (l *lister) run(ctx context.Context) {
-	address := l.edge.conf.ListService
+func (l *Conn) Run(ctx context.Context) {
+	address := l.c.Address
 	if address == "" {
 		l.refuse(ctx)
 		return
 	}
-	pushed := !l.edge.conf.Fleet.ListAsked
-	rng := rand.New(rand.NewSource(time.Now().UnixNano() + int64(l.edge.conf.Ordinal)))
+	pushed := !l.c.Asked
+	rng := rand.New(rand.NewSource(l.c.Seed))
 	wait, verb := 50*time.Millisecond, ""
 	for ctx.Err() == nil {
 		if !pushed && verb == "" {
@@ -67,9 +92,9 @@
 		if heard {
 			wait = 50 * time.Millisecond
 		}
-		l.edge.log.Debug("list service", "err", err)
+		l.c.Log.Debug("list service", "err", err)
 		if !pushed {
-			l.edge.loop.Post(func(c *hostloop.Core) { c.ListFailed() })
+			l.c.Sink.ListFailed()
 			continue
 		}
 		select {
@@ -81,19 +106,19 @@
 }
 
 // refuse answers every ask where there is no list service.
-func (l *lister) refuse(ctx context.Context) {
+func (l *Conn) refuse(ctx context.Context) {
 	for {
 		select {
 		case <-l.asks:
-			l.edge.loop.Post(func(c *hostloop.Core) { c.ListFailed() })
+			l.c.Sink.ListFailed()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (l *lister) serve(ctx context.Context, address, verb string) (heard bool, err error) {
-	limits := l.edge.limits
+func (l *Conn) serve(ctx context.Context, address, verb string) (heard bool, err error) {
+	limits := l.c.Limits
 	d := net.Dialer{Timeout: limits.Connect}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -103,7 +128,7 @@
 	unhook := context.AfterFunc(ctx, func() { nc.Close() })
 	defer unhook()
 	r := lineproto.NewConnReader(nc, max(limits.Body, 16<<20), 0, limits.Stall)
-	if _, err := lineproto.Greet(nc, r, "host", l.edge.conf.Name, limits.Stall, nil); err != nil {
+	if _, err := lineproto.Greet(nc, r, "host", l.c.Name, limits.Stall, nil); err != nil {
 		return false, fmt.Errorf("list service: %w", err)
 	}
 	write := func(verb string) error {
@@ -119,10 +144,11 @@
 	}
 	// One goroutine sends asks, this one reads; the connection's end ends both.
 	inner, stop := context.WithCancel(ctx)
-	sent := make(chan struct{})
-	defer func() { stop(); nc.Close(); <-sent }()
+	var wg sync.WaitGroup
+	defer func() { stop(); nc.Close(); wg.Wait() }()
+	wg.Add(2)
 	go func() {
-		defer close(sent)
+		defer wg.Done()
 		for {
 			select {
 			case verb := <-l.asks:
@@ -135,18 +161,19 @@
 			}
 		}
 	}()
-	l.edge.spawn(func() { // while the connection stands, what was told last holds
+	go func() { // while the connection stands, what was told last holds
+		defer wg.Done()
 		tick := time.NewTicker(time.Second)
 		defer tick.Stop()
 		for {
 			select {
 			case <-tick.C:
-				l.edge.loop.Offer(func(c *hostloop.Core) { c.ListHolds() })
+				l.c.Sink.ListHolds()
 			case <-inner.Done():
 				return
 			}
 		}
-	})
+	}()
 	for {
 		m, err := r.Read()
 		if err != nil {
@@ -154,22 +181,22 @@
 		}
 		switch m.Verb {
 		case lineproto.List:
-			g, whole, lines, err := parseList(m)
+			g, whole, lines, err := Parse(m)
 			if err != nil {
-				l.edge.log.Warn("a list was refused; the one before holds", "err", err)
+				l.c.Log.Warn("a list was refused; the one before holds", "err", err)
 				continue
 			}
 			heard = true
-			l.edge.loop.Post(func(c *hostloop.Core) { c.List(g, whole, lines) })
+			l.c.Sink.List(g, whole, lines)
 		case lineproto.Busy, lineproto.Abort, lineproto.Bad:
-			l.edge.loop.Post(func(c *hostloop.Core) { c.ListFailed() })
+			l.c.Sink.ListFailed()
 		}
 	}
 }
 
-// parseList reads a LIST. Each line of its body is: name address zone cell state started, where started is on
+// Parse reads a LIST. Each line of its body is: name address zone cell state started, where started is on
 // the clock that the field Clock reads, in microseconds, 0 where it is not known.
-func parseList(m *lineproto.Message) (g decide.Generation, whole bool, lines []hostloop.BrickLine, err error) {
+func Parse(m *lineproto.Message) (g decide.Generation, whole bool, lines []hostloop.BrickLine, err error) {
 	clock, err1 := m.Whole("Clock", 0)
 	number, err2 := m.Whole("Number", 0)
 	if err := errors.Join(err1, err2); err != nil {
--- /dev/null
+++ b/internal/plan/decide/decide.go
@@ -0,0 +1,551 @@
+// Package decide is the planner's decisions: what it may write and when, what it must learn back before it does, who is served a
+// view next, where new objects go. It has no I/O, clock or goroutine: time comes in by calls, what must be written down goes out
+// through Keeper and counts only once that came back.
+//
+// Tenure. Each start takes a term above all terms known, and writes it down. An edge follows the highest tenure it has seen, and
+// acknowledges beats of that one only. The planner holds the lease while more than half of the edges have acknowledged a beat
+// sent within the lease's time; it writes only then, and after its first majority it waits a lease and a quarter before, so that
+// whoever held the lease before has lost it, be one clock a fifth faster.
+//
+// Recovery. What the disk gives may be old, or nothing. Before anything new is written, edges say what they hold: until more than
+// half of the edges have, or, once Recover has passed, all that are there. Of each thing the later generation wins, drains
+// add up, and generations go on above all that were heard of.
+package decide
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"weirhaven/internal/plan/view"
+	"weirhaven/internal/wpb"
+)
+
+// Keeper writes down. What it fails to write did not happen.
+type Keeper interface {
+	Keep(tenure *wpb.Tenure, generation uint64, changed []*wpb.Item) error
+}
+
+// Rules are the figures.
+type Rules struct {
+	Edges      int           // that there are at least; more count once they came
+	Lease      time.Duration // since a beat was sent
+	Recover    time.Duration
+	AtOnce     int // views sent at once
+	Tombstones int // gone items that are remembered, so that changes can be told
+	Items      int
+}
+
+// Phase of the planner.
+type Phase int
+
+const (
+	Recovering Phase = iota
+	Waiting          // it has, or had, no majority, or an older lease may still be held
+	Holding
+	Outranked // another planner of a higher tenure is followed
+)
+
+func (p Phase) String() string {
+	return [...]string{"recovering", "without the lease", "holding the lease", "outranked"}[p]
+}
+
+type edge struct {
+	name, address string
+	connected     bool
+	reported      bool
+	tenure        *wpb.Tenure
+	generation    uint64        // acknowledged
+	beat          time.Duration // when the latest beat that it acknowledged was sent; 0: none
+	heard         time.Duration
+	sending       bool // a view is on its way
+	since         time.Duration
+	queued        int // its turn among those that wait; 0: none
+}
+
+// State is a planner's.
+type State struct {
+	rules      Rules
+	keep       Keeper
+	log        func(string)
+	tenure     *wpb.Tenure
+	generation uint64
+	floor      uint64 // changes since before it can't be told any more
+	items      map[view.Key]*wpb.Item
+	wanted     map[view.Key]*wpb.Item // as it should be; written when the lease is held
+	gone       []view.Key
+	edges      map[string]*edge
+	started    time.Duration
+	recovered  bool
+	majority   time.Duration // since when there has been one without a break; 0: none
+	outranked  time.Duration // when an edge last said that it follows a higher one; 0: never
+	beats      map[uint64]time.Duration
+	beat       uint64
+	turn       int
+	took       time.Duration // a view's sending, in the mean
+	phase      Phase
+	placed     map[uint32]int // by cell
+}
+
+// New takes what the disk gave; tenure nil: nothing.
+func New(name string, tenure *wpb.Tenure, generation uint64, saved []*wpb.Item, r Rules, k Keeper, log func(string), now time.Duration) (*State, error) {
+	s := &State{rules: r, keep: k, log: log, generation: generation, floor: generation, items: map[view.Key]*wpb.Item{}, wanted: map[view.Key]*wpb.Item{},
+		edges: map[string]*edge{}, started: now, beats: map[uint64]time.Duration{}, placed: map[uint32]int{}, took: 20 * time.Millisecond}
+	for _, x := range saved {
+		s.hold(x)
+	}
+	s.tenure = &wpb.Tenure{Term: tenure.GetTerm() + 1, Planner: name}
+	if err := k.Keep(s.tenure, s.generation, nil); err != nil {
+		return nil, fmt.Errorf("write down term %d: %w", s.tenure.Term, err)
+	}
+	return s, nil
+}
+
+func (s *State) hold(x *wpb.Item) {
+	k := view.KeyOf(x)
+	if old := s.items[k]; k.Kind == wpb.Item_PLACE {
+		if old != nil && !old.Gone {
+			s.placed[old.Place.GetCell()]--
+		}
+		if !x.Gone {
+			s.placed[x.Place.GetCell()]++
+		}
+	}
+	if x.Gone && (s.items[k] == nil || !s.items[k].Gone) {
+		s.gone = append(s.gone, k)
+	}
+	s.items[k] = x
+	s.generation = max(s.generation, x.Generation)
+}
+
+// Tenure, Generation, Phase, Items tell what it is.
+func (s *State) Tenure() *wpb.Tenure       { return s.tenure }
+func (s *State) Generation() uint64        { return s.generation }
+func (s *State) Phase() Phase              { return s.phase }
+func (s *State) Items() []*wpb.Item        { return view.Sorted(s.items) }
+func (s *State) Item(k view.Key) *wpb.Item { return s.items[k] }
+
+// Hello is an edge that came. ask: it must say what it holds first. The error is for the operator's eyes; the edge is told to
+// come back.
+func (s *State) Hello(name, address string, tenure *wpb.Tenure, generation uint64, following bool, now time.Duration) (ask bool, err error) {
+	e := s.edges[name]
+	if e == nil {
+		if len(s.edges) >= 1<<16 {
+			return false, fmt.Errorf("more than %d edges", 1<<16)
+		}
+		e = &edge{name: name, tenure: &wpb.Tenure{}}
+		s.edges[name] = e
+	}
+	e.address, e.connected, e.heard, e.sending, e.queued = address, true, now, false, 0
+	if view.Compare(tenure, s.tenure) > 0 {
+		if following && tenure.GetPlanner() != s.tenure.Planner {
+			s.outranked = now
+			s.settle(now)
+			return false, fmt.Errorf("edge %s follows planner %q of term %d: this one, of term %d, stands back", name, tenure.GetPlanner(), tenure.GetTerm(), s.tenure.Term)
+		}
+		// An older copy of the disk, or a planner that is gone: its terms are not used again.
+		if err := s.raise(tenure.GetTerm()+1, now); err != nil {
+			return false, err
+		}
+	}
+	if generation > s.generation {
+		s.generation, s.floor = generation, generation
+		s.log(fmt.Sprintf("edge %s holds generation %d, later than any known here", name, generation))
+		e.reported = false
+	}
+	ask = !s.recovered || !e.reported
+	s.settle(now)
+	return ask, nil
+}
+
+func (s *State) raise(term uint64, now time.Duration) error {
+	t := &wpb.Tenure{Term: term, Planner: s.tenure.Planner}
+	if err := s.keep.Keep(t, s.generation, nil); err != nil {
+		return fmt.Errorf("write down term %d: %w", term, err)
+	}
+	s.log(fmt.Sprintf("term raised from %d to %d: an edge knew of a higher one", s.tenure.Term, term))
+	s.tenure, s.majority = t, 0
+	for _, e := range s.edges {
+		e.beat = 0
+	}
+	s.beats = map[uint64]time.Duration{}
+	return nil
+}
+
+// Gone tells that an edge's stream ended.
+func (s *State) Gone(name string, now time.Duration) {
+	if e := s.edges[name]; e != nil {
+		e.connected, e.sending, e.queued = false, false, 0
+		s.settle(now)
+	}
+}
+
+// Report takes what an edge holds. What is later than what is known here is learnt; drains add up.
+func (s *State) Report(name string, items []*wpb.Item, last bool, now time.Duration) error {
+	e := s.edges[name]
+	if e == nil {
+		return fmt.Errorf("a report of %q, which never came", name)
+	}
+	var learnt []*wpb.Item
+	for _, x := range items {
+		k := view.KeyOf(x)
+		own := s.items[k]
+		if len(s.items) >= s.rules.Items && own == nil {
+			return fmt.Errorf("edge %s reports more than %d things", name, s.rules.Items)
+		}
+		y := x
+		if own != nil && !view.Later(x, own) {
+			y = own
+		}
+		if k.Kind == wpb.Item_BRICK {
+			if d := view.Drain(own.GetBrick().GetDrained(), x.GetBrick().GetDrained()); d != y.GetBrick().GetDrained() {
+				y = proto.Clone(y).(*wpb.Item)
+				if y.Brick == nil {
+					y.Brick = &wpb.PlanBrick{}
+				}
+				y.Brick.Drained = d
+				y.Brick.Serving = y.Brick.Serving && !view.Drained(y.Brick)
+				if s.recovered { // all the others must hear of it: it is news
+					if w := s.wanted[k]; w != nil {
+						w.Brick.Drained = view.Drain(w.Brick.Drained, d)
+					} else {
+						s.wanted[k] = y
+					}
+					continue
+				}
+			}
+		}
+		if y != own {
+			learnt = append(learnt, y)
+		}
+	}
+	if len(learnt) > 0 {
+		if err := s.keep.Keep(s.tenure, s.generation, learnt); err != nil {
+			return fmt.Errorf("write down what edge %s told: %w", name, err)
+		}
+		for _, x := range learnt {
+			s.hold(x)
+		}
+		s.floor = s.generation // others may lack what was learnt out of turn: they get the whole
+		s.log(fmt.Sprintf("learnt %d things from edge %s", len(learnt), name))
+	}
+	if last {
+		e.reported = true
+	}
+	s.settle(now)
+	return nil
+}
+
+// Beat is a new one to be sent to all edges.
+func (s *State) Beat(now time.Duration) uint64 {
+	s.beat++
+	s.beats[s.beat] = now
+	for b, at := range s.beats {
+		if now-at > 4*s.rules.Lease {
+			delete(s.beats, b)
+		}
+	}
+	s.settle(now)
+	return s.beat
+}
+
+// Ack is an edge's: it follows this tenure, holds all up to a generation, and heard a beat.
+func (s *State) Ack(name string, tenure *wpb.Tenure, generation, beat uint64, now time.Duration) {
+	e := s.edges[name]
+	if e == nil {
+		return
+	}
+	e.heard = now
+	if view.Compare(tenure, s.tenure) != 0 {
+		if view.Compare(tenure, s.tenure) > 0 && tenure.GetPlanner() != s.tenure.Planner {
+			s.outranked = now
+		}
+		s.settle(now)
+		return
+	}
+	e.tenure = proto.Clone(tenure).(*wpb.Tenure)
+	if at, ok := s.beats[beat]; ok {
+		e.beat = max(e.beat, at)
+	}
+	if generation >= e.generation {
+		e.generation = generation
+	}
+	s.settle(now)
+}
+
+// Majority is how many edges must agree.
+func (s *State) Majority() int { return max(s.rules.Edges, len(s.edges))/2 + 1 }
+
+// settle moves the phase, by what is known now.
+func (s *State) settle(now time.Duration) {
+	if !s.recovered {
+		reported, open := 0, 0
+		for _, e := range s.edges {
+			if e.reported {
+				reported++
+			} else if e.connected {
+				open++
+			}
+		}
+		if reported >= s.Majority() || reported > 0 && open == 0 && now-s.started >= s.rules.Recover {
+			s.recovered = true
+			s.log(fmt.Sprintf("recovered: %d edges told what they hold, generation %d, %d things", reported, s.generation, len(s.items)))
+		}
+	}
+	fresh := 0
+	for _, e := range s.edges {
+		if e.beat > 0 && now-e.beat < s.rules.Lease {
+			fresh++
+		}
+	}
+	switch {
+	case fresh < s.Majority():
+		s.majority = 0
+	case s.majority == 0:
+		s.majority = now
+	}
+	was := s.phase
+	switch {
+	case s.outranked > 0 && now-s.outranked < 3*s.rules.Lease:
+		s.phase, s.majority = Outranked, 0
+	case !s.recovered:
+		s.phase = Recovering
+	case s.majority == 0 || was != Holding && now-s.majority < s.rules.Lease*5/4:
+		s.phase = Waiting
+	default:
+		s.phase = Holding
+	}
+	if s.phase != was {
+		s.log(fmt.Sprintf("%s, was %s: term %d, generation %d, %d of %d edges renewed the lease", s.phase, was, s.tenure.Term, s.generation, fresh,
+			max(s.rules.Edges, len(s.edges))))
+	}
+}
+
+// Tick lets time pass; it tells the phase.
+func (s *State) Tick(now time.Duration) Phase {
+	s.settle(now)
+	return s.phase
+}
+
+// Want says how a thing should be; it is written once it may be. A brick's drain is never unwanted.
+func (s *State) Want(x *wpb.Item) {
+	k := view.KeyOf(x)
+	x = proto.Clone(x).(*wpb.Item)
+	if own := s.items[k]; k.Kind == wpb.Item_BRICK {
+		d := own.GetBrick().GetDrained()
+		if w := s.wanted[k]; w != nil {
+			d = view.Drain(d, w.GetBrick().GetDrained())
+		}
+		if d != 0 {
+			if x.Brick == nil {
+				x.Brick = &wpb.PlanBrick{}
+			}
+			x.Brick.Drained = view.Drain(d, x.Brick.Drained)
+			x.Brick.Serving = x.Brick.Serving && !view.Drained(x.Brick)
+		}
+	}
+	s.wanted[k] = x
+}
+
+// Write writes what is wanted and differs, as one generation; it tells whether anything changed. It writes only while the lease is held.
+func (s *State) Write(now time.Duration) (changed []*wpb.Item, err error) {
+	if s.Tick(now); s.phase != Holding {
+		return nil, nil
+	}
+	for k, w := range s.wanted {
+		own := s.items[k]
+		if own == nil && w.Gone {
+			delete(s.wanted, k)
+			continue
+		}
+		y := proto.Clone(w).(*wpb.Item)
+		if k.Kind == wpb.Item_BRICK && own != nil { // drains that were learnt since it was wanted
+			if d := view.Drain(own.GetBrick().GetDrained(), y.GetBrick().GetDrained()); d != y.GetBrick().GetDrained() {
+				if y.Brick == nil {
+					y.Brick = &wpb.PlanBrick{}
+				}
+				y.Brick.Drained = d
+				y.Brick.Serving = y.Brick.Serving && !view.Drained(y.Brick)
+			}
+		}
+		if own != nil {
+			y.Generation, y.Term = own.Generation, own.Term
+			if proto.Equal(own, y) {
+				delete(s.wanted, k)
+				continue
+			}
+		}
+		changed = append(changed, y)
+	}
+	if len(changed) == 0 {
+		return nil, nil
+	}
+	slices.SortFunc(changed, func(a, b *wpb.Item) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name)) })
+	for _, y := range changed {
+		y.Generation, y.Term = s.generation+1, s.tenure.Term
+	}
+	if err := s.keep.Keep(s.tenure, s.generation+1, changed); err != nil {
+		return nil, fmt.Errorf("write generation %d: %w", s.generation+1, err)
+	}
+	s.generation++
+	for _, y := range changed {
+		s.hold(y)
+		delete(s.wanted, view.KeyOf(y))
+	}
+	s.forget()
+	return changed, nil
+}
+
+// forget drops the oldest tombstones beyond what is kept; edges older than these get the whole. Of a brick that was drained the
+// drain stays.
+func (s *State) forget() {
+	for i := 0; len(s.gone) > s.rules.Tombstones && i < len(s.gone); {
+		k := s.gone[i]
+		x := s.items[k]
+		if x == nil || !x.Gone {
+			s.gone = slices.Delete(s.gone, i, i+1)
+			continue
+		}
+		if x.GetBrick().GetDrained() != 0 {
+			i++
+			continue
+		}
+		s.floor = max(s.floor, x.Generation)
+		delete(s.items, k)
+		s.gone = slices.Delete(s.gone, i, i+1)
+	}
+}
+
+// Place chooses the cell of a new object or extent: of those where its volume may lie, on bricks that serve, the one with the
+// fewest for its bricks; in another zone than butZone if there is one. Asked again for the same name, the same cell is given,
+// unless none of its bricks serves any more and it was never used (the caller then asks with another name).
+func (s *State) Place(edgeName, volume, name, butZone string, now time.Duration) (*wpb.Item, error) {
+	k := view.Key{Kind: wpb.Item_PLACE, Name: volume + "/" + name}
+	if own := s.items[k]; own != nil && !own.Gone {
+		return own, nil
+	}
+	if s.Tick(now); s.phase != Holding {
+		return nil, fmt.Errorf("no place is given: the planner is %s", s.phase)
+	}
+	v := s.items[view.Key{Kind: wpb.Item_VOLUME, Name: volume}]
+	if v == nil || v.Gone {
+		return nil, fmt.Errorf("no volume %q", volume)
+	}
+	if len(s.items) >= s.rules.Items {
+		return nil, fmt.Errorf("no place is given: %d things are held, as many as allowed", s.rules.Items)
+	}
+	bricks := map[uint32]int{}
+	other := map[uint32]bool{}
+	for key, x := range s.items {
+		b := x.GetBrick()
+		if key.Kind != wpb.Item_BRICK || x.Gone || !b.GetServing() || view.Drained(b) || b.GetCell() < 0 {
+			continue
+		}
+		if cells := v.GetVolume().GetCell(); len(cells) > 0 && !slices.Contains(cells, uint32(b.Cell)) {
+			continue
+		}
+		bricks[uint32(b.Cell)]++
+		other[uint32(b.Cell)] = other[uint32(b.Cell)] || butZone == "" || b.Zone != butZone
+	}
+	best, found := uint32(0), false
+	better := func(a, b uint32) bool {
+		if other[a] != other[b] {
+			return other[a]
+		}
+		x, y := s.placed[a]*bricks[b], s.placed[b]*bricks[a]
+		return x < y || x == y && a < b
+	}
+	for c := range bricks {
+		if !found || better(c, best) {
+			best, found = c, true
+		}
+	}
+	if !found {
+		return nil, fmt.Errorf("volume %q: no brick that serves where it may lie", volume)
+	}
+	x := &wpb.Item{Kind: k.Kind, Name: k.Name, Generation: s.generation + 1, Term: s.tenure.Term, Place: &wpb.PlanPlace{Volume: volume, Cell: best, Edge: edgeName}}
+	if err := s.keep.Keep(s.tenure, s.generation+1, []*wpb.Item{x}); err != nil {
+		return nil, fmt.Errorf("write down the place: %w", err)
+	}
+	s.generation++
+	s.hold(x)
+	return x, nil
+}
+
+// Admit tells whether a view may be sent to an edge now; else when it should come back. Those that wait are served in turn.
+func (s *State) Admit(name string, now time.Duration) (ok bool, after time.Duration) {
+	e := s.edges[name]
+	if e == nil {
+		return false, s.rules.Lease
+	}
+	sending, ahead := 0, 0
+	for _, x := range s.edges {
+		if x.sending {
+			sending++
+		}
+		if x != e && x.queued > 0 && (e.queued == 0 || x.queued < e.queued) && x.connected {
+			ahead++
+		}
+	}
+	if e.sending || sending+ahead < s.rules.AtOnce {
+		if !e.sending {
+			e.sending, e.since, e.queued = true, now, 0
+		}
+		return true, 0
+	}
+	if e.queued == 0 {
+		s.turn++
+		e.queued = s.turn
+	}
+	// As long as those ahead will take, by what views took so far.
+	rounds := (ahead + s.rules.AtOnce) / s.rules.AtOnce
+	return false, max(time.Duration(rounds)*s.took, 5*time.Millisecond)
+}
+
+// Sent tells that an edge has its view.
+func (s *State) Sent(name string, now time.Duration) {
+	if e := s.edges[name]; e != nil && e.sending {
+		e.sending = false
+		s.took += (now - e.since - s.took) / 8
+	}
+}
+
+// View is what an edge that stands at a generation of this planner's lineage is to be sent: nothing, changes, or the whole.
+func (s *State) View(name string, tenure *wpb.Tenure, generation, digest uint64) (p *wpb.ViewPart, send bool) {
+	same := tenure.GetPlanner() == s.tenure.Planner && tenure.GetTerm() <= s.tenure.Term
+	if same && generation == s.generation && digest == s.Digest() {
+		return nil, false
+	}
+	p = &wpb.ViewPart{From: generation, To: s.generation, Digest: s.Digest(), Last: true}
+	p.Whole = !same || generation < s.floor || generation > s.generation || generation == s.generation
+	if p.Whole {
+		p.From = 0
+	}
+	for k, x := range s.items {
+		if !p.Whole && x.Generation <= generation || k.Kind == wpb.Item_PLACE && x.GetPlace().GetEdge() != name {
+			continue
+		}
+		if p.Whole && x.Gone && x.GetBrick().GetDrained() == 0 {
+			continue
+		}
+		p.Item = append(p.Item, x)
+	}
+	slices.SortFunc(p.Item, func(a, b *wpb.Item) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name)) })
+	return p, true
+}
+
+// Digest is that of the view an edge should hold.
+func (s *State) Digest() uint64 { return view.Digest(s.items) }
+
+// Edges tells of all edges, by name.
+func (s *State) Edges(now time.Duration) (all []*wpb.EdgeStatus) {
+	for _, e := range s.edges {
+		all = append(all, &wpb.EdgeStatus{Name: e.name, Address: e.address, Connected: e.connected, Generation: e.generation, Heard: int64(now - e.heard),
+			Term: e.tenure.GetTerm()})
+	}
+	slices.SortFunc(all, func(a, b *wpb.EdgeStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
