--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,6 +47,8 @@
 	lister *listconn.Conn
 	peers  *peers
 
+	volumeTable  *volumeTable
+	planner      *planner
 	taping       *capture.Writer // nil: the load is not recorded
 	peerNetworks *netipx.IPSet   // nil: anywhere
 
@@ -86,7 +88,11 @@
 	if err != nil {
 		return err
 	}
-	core := hostloop.New(settings.Policy(conf, time.Now().UnixNano()), rules, o.Start, e, e.volumes(), e.limits.Probe,
+	e.volumeTable = newVolumeTable(conf)
+	if e.planner, err = e.openPlanner(l.Addr().String()); err != nil {
+		return err
+	}
+	core := hostloop.New(settings.Policy(conf, time.Now().UnixNano()), rules, o.Start, e, e.volumeTable.of, e.limits.Probe,
 		e.loop.Now())
 	if err := e.openCapture(core); err != nil {
 		return err
@@ -113,6 +119,10 @@
 	inner, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
 	go e.loop.Run(inner, core)
+	e.planner.begin()
+	if f := e.planner.follower; f != nil {
+		e.spawn(func() { f.Run(inner) })
+	}
 	keeping, stopKeeping := context.WithCancel(inner)
 	defer stopKeeping()
 	kept := make(chan bool)
@@ -210,21 +220,6 @@
 	}()
 }
 
-func (e *Edge) volumes() hostloop.VolumeOf {
-	type entry struct {
-		plan  string
-		hosts int
-	}
-	byName := make(map[string]entry, len(e.conf.Volume))
-	for _, v := range e.conf.Volume {
-		byName[v.Name] = entry{v.Plan, int(v.Hosts)}
-	}
-	return func(name string) (string, int, bool) {
-		v, ok := byName[name]
-		return v.plan, v.hosts, ok
-	}
-}
-
 func known(bricks []*wpb.BrickLine) []hostloop.BrickLine {
 	lines := make([]hostloop.BrickLine, len(bricks))
 	for i, b := range bricks {
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -87,6 +87,7 @@
 	if !ok {
 		return
 	}
+	k.edge.planner.learnt(all)
 	_, err := k.store.Save(all, last)
 	err = errors.Join(err, k.store.SaveHosts(hosts))
 	if (err != nil) != k.bad {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -497,6 +497,14 @@
 	}
 }
 
+// Plan is how many hosts there are to be, as a planner says; it only ever raises what settings say.
+func (g *Group) Plan(hosts int) {
+	if hosts > g.self.Planned {
+		g.self.Planned, g.stale = hosts, true
+		g.tell()
+	}
+}
+
 // Leave says goodbye to some; they pass it on. Nothing is sent after it.
 func (g *Group) Leave() {
 	g.self.Incarnation++
--- a/internal/plan/decide/decide.go
+++ b/internal/plan/decide/decide.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -88,16 +89,19 @@
 	took       time.Duration // a view's sending, in the mean
 	phase      Phase
 	placed     map[uint32]int // by cell
+	digest     uint64
+	summed     bool
 }
 
-// New takes what the disk gave; tenure nil: nothing.
-func New(name string, tenure *wpb.Tenure, generation uint64, saved []*wpb.Item, r Rules, k Keeper, log func(string), now time.Duration) (*State, error) {
+// New takes what the disk gave; tenure nil: nothing. life is drawn anew at each start: two starts without a disk, or two planners
+// given one name, would else share a tenure.
+func New(name string, life uint64, tenure *wpb.Tenure, generation uint64, saved []*wpb.Item, r Rules, k Keeper, log func(string), now time.Duration) (*State, error) {
 	s := &State{rules: r, keep: k, log: log, generation: generation, floor: generation, items: map[view.Key]*wpb.Item{}, wanted: map[view.Key]*wpb.Item{},
 		edges: map[string]*edge{}, started: now, beats: map[uint64]time.Duration{}, placed: map[uint32]int{}, took: 20 * time.Millisecond}
 	for _, x := range saved {
 		s.hold(x)
 	}
-	s.tenure = &wpb.Tenure{Term: tenure.GetTerm() + 1, Planner: name}
+	s.tenure = &wpb.Tenure{Term: tenure.GetTerm() + 1, Planner: fmt.Sprintf("%s#%016x", name, life)}
 	if err := k.Keep(s.tenure, s.generation, nil); err != nil {
 		return nil, fmt.Errorf("write down term %d: %w", s.tenure.Term, err)
 	}
@@ -117,7 +121,7 @@
 	if x.Gone && (s.items[k] == nil || !s.items[k].Gone) {
 		s.gone = append(s.gone, k)
 	}
-	s.items[k] = x
+	s.items[k], s.summed = x, false
 	s.generation = max(s.generation, x.Generation)
 }
 
@@ -130,7 +134,7 @@
 
 // Hello is an edge that came. ask: it must say what it holds first. The error is for the operator's eyes; the edge is told to
 // come back.
-func (s *State) Hello(name, address string, tenure *wpb.Tenure, generation uint64, following bool, now time.Duration) (ask bool, err error) {
+func (s *State) Hello(name, address string, tenure *wpb.Tenure, generation, digest uint64, following bool, now time.Duration) (ask bool, err error) {
 	e := s.edges[name]
 	if e == nil {
 		if len(s.edges) >= 1<<16 {
@@ -141,7 +145,7 @@
 	}
 	e.address, e.connected, e.heard, e.sending, e.queued = address, true, now, false, 0
 	if view.Compare(tenure, s.tenure) > 0 {
-		if following && tenure.GetPlanner() != s.tenure.Planner {
+		if following {
 			s.outranked = now
 			s.settle(now)
 			return false, fmt.Errorf("edge %s follows planner %q of term %d: this one, of term %d, stands back", name, tenure.GetPlanner(), tenure.GetTerm(), s.tenure.Term)
@@ -151,12 +155,16 @@
 			return false, err
 		}
 	}
+	// What it holds may be news: of another planner's, or of a disk since lost.
 	if generation > s.generation {
 		s.generation, s.floor = generation, generation
 		s.log(fmt.Sprintf("edge %s holds generation %d, later than any known here", name, generation))
 		e.reported = false
 	}
-	ask = !s.recovered || !e.reported
+	if generation == s.generation && digest != s.Digest() || tenure.GetTerm() > 0 && !s.kin(tenure) {
+		e.reported = false
+	}
+	ask = !e.reported
 	s.settle(now)
 	return ask, nil
 }
@@ -210,6 +218,9 @@
 				y.Brick.Serving = y.Brick.Serving && !view.Drained(y.Brick)
 				if s.recovered { // all the others must hear of it: it is news
 					if w := s.wanted[k]; w != nil {
+						if w.Brick == nil {
+							w.Brick = &wpb.PlanBrick{}
+						}
 						w.Brick.Drained = view.Drain(w.Brick.Drained, d)
 					} else {
 						s.wanted[k] = y
@@ -260,7 +271,7 @@
 	}
 	e.heard = now
 	if view.Compare(tenure, s.tenure) != 0 {
-		if view.Compare(tenure, s.tenure) > 0 && tenure.GetPlanner() != s.tenure.Planner {
+		if view.Compare(tenure, s.tenure) > 0 {
 			s.outranked = now
 		}
 		s.settle(now)
@@ -515,7 +526,7 @@
 
 // View is what an edge that stands at a generation of this planner's lineage is to be sent: nothing, changes, or the whole.
 func (s *State) View(name string, tenure *wpb.Tenure, generation, digest uint64) (p *wpb.ViewPart, send bool) {
-	same := tenure.GetPlanner() == s.tenure.Planner && tenure.GetTerm() <= s.tenure.Term
+	same := s.kin(tenure) // if its history was another one all the same, the digest tells
 	if same && generation == s.generation && digest == s.Digest() {
 		return nil, false
 	}
@@ -537,8 +548,20 @@
 	return p, true
 }
 
+// kin tells whether a tenure was of a planner of this name.
+func (s *State) kin(t *wpb.Tenure) bool {
+	a, _, _ := strings.Cut(t.GetPlanner(), "#")
+	b, _, _ := strings.Cut(s.tenure.Planner, "#")
+	return a == b && t.GetTerm() <= s.tenure.Term
+}
+
 // Digest is that of the view an edge should hold.
-func (s *State) Digest() uint64 { return view.Digest(s.items) }
+func (s *State) Digest() uint64 {
+	if !s.summed {
+		s.digest, s.summed = view.Digest(s.items), true
+	}
+	return s.digest
+}
 
 // Edges tells of all edges, by name.
 func (s *State) Edges(now time.Duration) (all []*wpb.EdgeStatus) {
@@ -549,3 +572,70 @@
 	slices.SortFunc(all, func(a, b *wpb.EdgeStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return all
 }
+
+// BeatNow is the latest beat.
+func (s *State) BeatNow() uint64 { return s.beat }
+
+// Why tells what keeps it from writing; empty: nothing does.
+func (s *State) Why(now time.Duration) string {
+	fresh, reported := 0, 0
+	for _, e := range s.edges {
+		if e.beat > 0 && now-e.beat < s.rules.Lease {
+			fresh++
+		}
+		if e.reported {
+			reported++
+		}
+	}
+	switch s.phase {
+	case Recovering:
+		return fmt.Sprintf("%d of %d edges told what they hold", reported, s.Majority())
+	case Outranked:
+		return fmt.Sprintf("an edge followed a higher term %v ago", (now - s.outranked).Round(time.Millisecond))
+	case Waiting:
+		if fresh < s.Majority() {
+			return fmt.Sprintf("%d edges renewed the lease, %d are needed", fresh, s.Majority())
+		}
+		return fmt.Sprintf("an older lease may be held for %v yet", (s.rules.Lease*5/4 - (now - s.majority)).Round(time.Millisecond))
+	}
+	return ""
+}
+
+// Difference spells how what an edge holds differs from the view.
+func Difference(items, held []*wpb.Item, edgeName string) (all []string) {
+	own, theirs := map[view.Key]*wpb.Item{}, map[view.Key]*wpb.Item{}
+	for _, x := range items {
+		if x.Kind != wpb.Item_PLACE || x.GetPlace().GetEdge() == edgeName {
+			own[view.KeyOf(x)] = x
+		}
+	}
+	for _, x := range held {
+		theirs[view.KeyOf(x)] = x
+	}
+	keys := map[view.Key]bool{}
+	for k := range own {
+		keys[k] = true
+	}
+	for k := range theirs {
+		keys[k] = true
+	}
+	for k := range keys {
+		a, b := own[k], theirs[k]
+		name := fmt.Sprintf("%s %s", k.Kind, k.Name)
+		switch {
+		case b == nil && !a.Gone:
+			all = append(all, name+": the edge does not hold it")
+		case a == nil && !b.Gone:
+			all = append(all, name+": the planner does not know it")
+		case a == nil || b == nil:
+		case a.Gone != b.Gone:
+			all = append(all, fmt.Sprintf("%s: gone is %v at the planner, %v at the edge", name, a.Gone, b.Gone))
+		case a.Generation != b.Generation || a.Term != b.Term:
+			all = append(all, fmt.Sprintf("%s: generation %d of term %d at the planner, %d of term %d at the edge", name, a.Generation, a.Term, b.Generation, b.Term))
+		case a.GetBrick().GetDrained() != b.GetBrick().GetDrained():
+			all = append(all, fmt.Sprintf("%s: drained %d at the planner, %d at the edge", name, a.GetBrick().GetDrained(), b.GetBrick().GetDrained()))
+		}
+	}
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/internal/plan/follow/follow.go
@@ -0,0 +1,381 @@
+// Package follow is an edge's side of the planner: it follows the planner with the highest tenure, keeps its view on disk, tells the
+// planner what it holds and learnt. Nothing here stands in a command's way.
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"weirhaven/internal/keys"
+	"weirhaven/internal/plan/store"
+	"weirhaven/internal/plan/view"
+	"weirhaven/internal/wpb"
+)
+
+// Version of the messages; the planner bears one older and one newer.
+const Version = 2
+
+const (
+	silent    = 10 * time.Second // a planner that says nothing for so long is left
+	retell    = time.Minute      // while a planner is followed its bricks are as fresh as its beats
+	mostItems = 400000
+	partItems = 512
+	mostBytes = 4 << 20
+)
+
+// Sink hears what the view says. No call may block for long.
+type Sink interface {
+	// Changed are things as they are now; fresh: told by a planner that is there, not read from disk.
+	Changed(items []*wpb.Item, fresh bool)
+}
+
+// Config is a follower's.
+type Config struct {
+	Planner *wpb.Planner
+	Name    string
+	Address string // where clients reach the edge
+	File    string // that keeps the view
+	Log     *slog.Logger
+	Sink    Sink
+	Seed    int64
+	// Wait between tries to reach a planner, at the least and at most; 0: 200 ms and 5 s.
+	Least, Most time.Duration
+}
+
+// Follower is an edge's.
+type Follower struct {
+	c     Config
+	creds credentials.TransportCredentials
+
+	mu        sync.Mutex
+	view      *view.View
+	store     *store.Store
+	following string             // address of the planner followed; empty: none
+	leave     context.CancelFunc // ends that stream
+	news      chan bool          // something learnt is to be reported
+	conn      *grpc.ClientConn   // to the one followed
+	whole     bool               // ask for the whole at the next hello
+	rng       *rand.Rand
+}
+
+// Open reads the view kept and hands it to the sink.
+func Open(c Config) (*Follower, error) {
+	f := &Follower{c: c, news: make(chan bool, 1), rng: rand.New(rand.NewSource(c.Seed))}
+	if f.c.Least == 0 {
+		f.c.Least, f.c.Most = 200*time.Millisecond, 5*time.Second
+	}
+	switch p := c.Planner; {
+	case p.Keys != nil:
+		k, err := keys.Load(p.Keys, c.Log)
+		if err != nil {
+			return nil, err
+		}
+		server := p.ServerName
+		if server == "" {
+			server = "weirplan"
+		}
+		f.creds = credentials.NewTLS(k.Client(server))
+	default:
+		for _, a := range p.Address {
+			if !p.Plain || !keys.Loopback(a) {
+				return nil, fmt.Errorf("settings planner give no keys; without them say plain: true and use loopback (address: %s)", a)
+			}
+		}
+		f.creds = insecure.NewCredentials()
+	}
+	st, saved, aside, err := store.Open(c.File)
+	if err != nil {
+		return nil, err
+	}
+	if aside != "" {
+		c.Log.Warn("the view kept could not be read and was set aside; the planner tells it anew", "aside", aside)
+	}
+	f.store, f.view = st, view.New(saved.Tenure, saved.Generation, saved.Items, mostItems)
+	if len(saved.Items) > 0 {
+		c.Sink.Changed(saved.Items, false)
+	}
+	c.Log.Info("took back the planner's view", "term", saved.Tenure.GetTerm(), "generation", saved.Generation, "things", len(saved.Items))
+	return f, nil
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, a := range f.c.Planner.Address {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.keep(ctx, a)
+		}()
+	}
+	wg.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store.Close()
+	f.store = nil
+}
+
+func (f *Follower) keep(ctx context.Context, address string) {
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(f.creds), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(mostBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 5 * time.Second, Timeout: 5 * time.Second, PermitWithoutStream: true}))
+	if err != nil {
+		f.c.Log.Warn("planner", "address", address, "err", err)
+		return
+	}
+	defer conn.Close()
+	wait, last := f.c.Least, ""
+	for ctx.Err() == nil {
+		heard, err := f.stream(ctx, conn, address)
+		if heard {
+			wait = f.c.Least
+		}
+		if err != nil && ctx.Err() == nil && err.Error() != last {
+			last = err.Error()
+			f.c.Log.Info("planner left, or not reached; going on with the view held", "address", address, "err", err)
+		}
+		f.mu.Lock()
+		pause := wait/2 + time.Duration(f.rng.Int63n(int64(wait)))
+		f.mu.Unlock()
+		select {
+		case <-time.After(pause):
+			wait = min(2*wait, f.c.Most)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// stream is one conversation.
+func (f *Follower) stream(outer context.Context, conn *grpc.ClientConn, address string) (heard bool, err error) {
+	ctx, cancel := context.WithCancel(outer)
+	defer cancel()
+	s, err := wpb.NewPlanningClient(conn).Follow(ctx)
+	if err != nil {
+		return false, err
+	}
+	f.mu.Lock()
+	hello := &wpb.EdgeHello{Version: Version, Name: f.c.Name, Address: f.c.Address, Tenure: f.view.Tenure(), Generation: f.view.Generation(), Digest: f.view.Digest(),
+		Following: f.following != "" && f.following != address}
+	if f.whole {
+		hello.Generation, hello.Digest = 0, 0
+	}
+	f.mu.Unlock()
+	if err := s.Send(&wpb.EdgeSays{What: &wpb.EdgeSays_Hello{Hello: hello}}); err != nil {
+		_, rerr := s.Recv() // what the planner said of it
+		return false, errors.Join(rerr, err)
+	}
+	defer f.left(address)
+	type told struct {
+		m   *wpb.PlannerSays
+		err error
+	}
+	in := make(chan told)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Add(1)
+	go func() { // one message at a time: what is not read waits at the planner
+		defer wg.Done()
+		for {
+			m, err := s.Recv()
+			select {
+			case in <- told{m, err}:
+			case <-ctx.Done():
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	beat := uint64(0)
+	quiet := time.NewTimer(silent)
+	defer quiet.Stop()
+	again := time.NewTicker(retell)
+	defer again.Stop()
+	for {
+		select {
+		case t := <-in:
+			if t.err != nil {
+				return heard, t.err
+			}
+			quiet.Reset(silent)
+			says, err := f.hear(t.m, address, conn, cancel, &beat)
+			if err != nil {
+				return heard, err
+			}
+			heard = true
+			for _, m := range says {
+				if err := s.Send(m); err != nil {
+					return heard, err
+				}
+			}
+		case <-f.news:
+			if f.follows(address) {
+				for _, m := range f.report() {
+					if err := s.Send(m); err != nil {
+						return heard, err
+					}
+				}
+			}
+		case <-again.C:
+			if f.follows(address) {
+				f.mu.Lock()
+				items := f.view.Items()
+				f.mu.Unlock()
+				f.c.Sink.Changed(items, true)
+			}
+		case <-quiet.C:
+			return heard, fmt.Errorf("the planner said nothing for %v", silent)
+		case <-ctx.Done():
+			return heard, ctx.Err()
+		}
+	}
+}
+
+func (f *Follower) follows(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.following == address
+}
+
+func (f *Follower) left(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.following == address {
+		f.following, f.leave, f.conn = "", nil, nil
+		f.view.Cut()
+	}
+}
+
+// hear takes one message, and returns what is to be answered. What must be kept is on disk before.
+func (f *Follower) hear(m *wpb.PlannerSays, address string, conn *grpc.ClientConn, cancel context.CancelFunc, beat *uint64) (says []*wpb.EdgeSays, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	raised, err := f.view.Offered(m.Tenure)
+	if err != nil {
+		return nil, err
+	}
+	if raised {
+		if err := f.store.Keep(f.view.Tenure(), f.view.Generation(), nil); err != nil {
+			return nil, fmt.Errorf("the planner's term can't be written down, so it is not followed: %w", err)
+		}
+		f.c.Log.Info("following a planner", "address", address, "planner", m.Tenure.Planner, "term", m.Tenure.Term)
+	}
+	if f.following != address {
+		if f.leave != nil { // one of a lower tenure
+			f.leave()
+		}
+		f.view.Cut()
+		f.following, f.leave, f.conn = address, cancel, conn
+	}
+	switch x := m.What.(type) {
+	case *wpb.PlannerSays_Report:
+		return f.reported(), nil
+	case *wpb.PlannerSays_Alive:
+		*beat = x.Alive.Beat
+	case *wpb.PlannerSays_Part:
+		t, err := f.view.Part(m.Tenure, x.Part)
+		if err != nil {
+			f.whole = x.Part.Whole == false
+			return nil, err
+		}
+		if t.Whole {
+			f.whole = true
+			return nil, errors.New("changes don't fit what is held; asking for the whole")
+		}
+		if !t.Last {
+			return nil, nil
+		}
+		f.whole = false
+		if err := f.store.Keep(f.view.Tenure(), f.view.Generation(), t.Changed); err != nil {
+			f.c.Log.Warn("the planner's view can't be kept; it is used all the same", "err", err)
+		}
+		if len(t.Changed) > 0 {
+			f.c.Sink.Changed(t.Changed, true)
+		}
+	default:
+		return nil, nil
+	}
+	return []*wpb.EdgeSays{{What: &wpb.EdgeSays_Ack{Ack: &wpb.EdgeAck{Tenure: f.view.Tenure(), Generation: f.view.Generation(), Beat: *beat}}}}, nil
+}
+
+func (f *Follower) report() []*wpb.EdgeSays {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reported()
+}
+
+// reported is all that is held. Under mu.
+func (f *Follower) reported() (says []*wpb.EdgeSays) {
+	items := f.view.Items()
+	for {
+		n := min(len(items), partItems)
+		says = append(says, &wpb.EdgeSays{What: &wpb.EdgeSays_Report{Report: &wpb.EdgeReport{Item: items[:n], Last: n == len(items)}}})
+		if items = items[n:]; len(items) == 0 {
+			return says
+		}
+	}
+}
+
+// Learn tells of a drain that the edge learnt elsewhere; the planner hears of it at once, or when it is back.
+func (f *Follower) Learn(brick string, drained int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.store == nil || !f.view.Learn(brick, drained) {
+		return
+	}
+	x := f.view.Get(view.Key{Kind: wpb.Item_BRICK, Name: brick})
+	if err := f.store.Keep(f.view.Tenure(), f.view.Generation(), []*wpb.Item{x}); err != nil {
+		f.c.Log.Warn("a drain can't be written down", "brick", brick, "err", err)
+	}
+	select {
+	case f.news <- true:
+	default:
+	}
+}
+
+// Place asks the planner followed for the place of a new object or extent.
+func (f *Follower) Place(ctx context.Context, volume, name, butZone string) (cell uint32, err error) {
+	f.mu.Lock()
+	conn, tenure := f.conn, f.view.Tenure()
+	f.mu.Unlock()
+	if conn == nil {
+		return 0, errors.New("no planner is followed; new places must wait for one")
+	}
+	g, err := wpb.NewPlanningClient(conn).Place(ctx, &wpb.PlaceAsk{Edge: f.c.Name, Volume: volume, Name: name, ButZone: butZone})
+	if err != nil {
+		return 0, err
+	}
+	if view.Compare(g.Tenure, tenure) < 0 {
+		return 0, fmt.Errorf("a place of planner %q, term %d is refused: term %d is followed", g.Tenure.GetPlanner(), g.Tenure.GetTerm(), tenure.GetTerm())
+	}
+	x := &wpb.Item{Kind: wpb.Item_PLACE, Name: volume + "/" + name, Generation: g.Generation, Term: g.Tenure.GetTerm(),
+		Place: &wpb.PlanPlace{Volume: volume, Cell: g.Cell, Edge: f.c.Name}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.store == nil {
+		return 0, errors.New("the edge stops")
+	}
+	if err := f.store.Keep(f.view.Tenure(), f.view.Generation(), []*wpb.Item{x}); err != nil {
+		return 0, fmt.Errorf("the place can't be written down, so it is not used: %w", err)
+	}
+	f.view.Given(x)
+	return g.Cell, nil
+}
+
+// State tells what is followed and held.
+func (f *Follower) State() (address string, tenure *wpb.Tenure, generation uint64, items []*wpb.Item) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.following, f.view.Tenure(), f.view.Generation(), f.view.Items()
+}
--- /dev/null
+++ b/internal/plan/serve/main.go
@@ -0,0 +1,43 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"weirhaven/internal/settings"
+	"weirhaven/internal/wpb"
+)
+
+// Command is the planner's command line.
+type Command struct {
+	Config string `required:"" type:"existingfile" help:"Settings, protobuf text format (proto/plan.proto, PlannerConf)."`
+	Bound  bool   `help:"End when standard input ends, so that no planner is left over by whoever started it."`
+}
+
+// Execute runs a planner until SIGTERM or SIGINT. It prints READY with its address once it serves. logger makes its log.
+func (c *Command) Execute(logger func(io.Writer, *wpb.Log) (*slog.Logger, error)) error {
+	conf := &wpb.PlannerConf{}
+	if err := settings.Load(c.Config, conf); err != nil {
+		return err
+	}
+	log, err := logger(os.Stderr, conf.Log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if c.Bound {
+		var abandon context.CancelFunc
+		ctx, abandon = context.WithCancel(ctx)
+		go func() { // ends with the process
+			io.Copy(io.Discard, os.Stdin)
+			abandon()
+		}()
+	}
+	return Run(ctx, conf, Options{Log: log, Ready: func(a string) { fmt.Println("READY", a) }})
+}
--- /dev/null
+++ b/internal/plan/serve/serve.go
@@ -0,0 +1,526 @@
+// Package serve is the planner's program: gRPC round the decisions of internal/plan/decide. A stream for each edge; what an edge
+// does not take is never piled up, since its changes are worked out anew when it can take some.
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	randv2 "math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	fleetdecide "weirhaven/internal/fleet/decide"
+	"weirhaven/internal/hostloop"
+	"weirhaven/internal/keys"
+	"weirhaven/internal/listconn"
+	"weirhaven/internal/plan/decide"
+	"weirhaven/internal/plan/store"
+	"weirhaven/internal/plan/view"
+	"weirhaven/internal/settings"
+	"weirhaven/internal/wpb"
+)
+
+// Version of the messages. One older and one newer are borne: fields not known are kept out of the way by protobuf.
+const Version = 2
+
+// Figures that are no one's choice yet.
+const (
+	partItems  = 512             // of a view, in one message
+	stall      = 5 * time.Second // an edge that takes nothing for so long is cut off
+	mostItems  = 400000
+	tombstones = 4096
+	mostBytes  = 4 << 20
+)
+
+// Options are what a planner may be given besides its settings.
+type Options struct {
+	Log   *slog.Logger
+	Ready func(address string)
+	// Keep wraps the store, so that tests can fail it or stop in the middle; nil: not.
+	Keep func(decide.Keeper) decide.Keeper
+}
+
+// Planner is one while it runs.
+type Planner struct {
+	wpb.UnimplementedPlanningServer
+	conf  *wpb.PlannerConf
+	log   *slog.Logger
+	store *store.Store
+
+	mu      sync.Mutex
+	state   *decide.State
+	beliefs *fleetdecide.Fleet
+	streams map[string]*stream
+	reports map[string][]*wpb.Item // the latest of each edge, for diff
+	lease   time.Duration
+	stop    context.CancelFunc
+	wg      sync.WaitGroup // of streams: they end once their handler has returned
+}
+
+type stream struct {
+	wake chan bool
+	name string
+	end  context.CancelFunc
+}
+
+// now is a clock that hosts would agree on, but for what their clocks differ.
+func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, conf *wpb.PlannerConf, o Options) error {
+	if o.Log == nil {
+		o.Log = slog.Default()
+	}
+	log := o.Log.With("planner", conf.Name)
+	p := &Planner{conf: conf, log: log, streams: map[string]*stream{}, reports: map[string][]*wpb.Item{}, lease: settings.Duration(conf.Lease, 3*time.Second)}
+	var creds []grpc.ServerOption
+	switch {
+	case conf.Keys != nil:
+		k, err := keys.Load(conf.Keys, log)
+		if err != nil {
+			return err
+		}
+		creds = append(creds, grpc.Creds(credentials.NewTLS(k.Server())))
+	case !conf.Plain || !keys.Loopback(conf.Listen):
+		return fmt.Errorf("settings give no keys; without them say plain: true and listen on loopback (listen: %s)", conf.Listen)
+	}
+	st, saved, aside, err := store.Open(conf.Store)
+	if err != nil {
+		return err
+	}
+	defer st.Close()
+	if aside != "" {
+		log.Warn("the store could not be read and was set aside; what it held is learnt from the edges", "aside", aside)
+	}
+	p.store = st
+	keeper := decide.Keeper(st)
+	if o.Keep != nil {
+		keeper = o.Keep(st)
+	}
+	most := int(conf.AtOnce)
+	if most == 0 {
+		most = 16
+	}
+	rules := decide.Rules{Edges: int(conf.Edges), Lease: p.lease, Recover: settings.Duration(conf.Recover, 5*time.Second), AtOnce: most, Tombstones: tombstones,
+		Items: mostItems}
+	p.state, err = decide.New(conf.Name, randv2.Uint64(), saved.Tenure, saved.Generation, saved.Items, rules, keeper, func(line string) { log.Info(line) }, now())
+	if err != nil {
+		return err
+	}
+	r, err := settings.Beliefs(&wpb.Edge{})
+	if err != nil {
+		return err
+	}
+	p.beliefs = fleetdecide.New(r, (*wants)(p), func(line string) { log.Info(line) })
+	p.restore(saved.Items)
+	for _, x := range conf.Plan {
+		p.state.Want(&wpb.Item{Kind: wpb.Item_PLAN, Name: x.Name, Plan: x})
+	}
+	for _, v := range conf.Volume {
+		p.state.Want(&wpb.Item{Kind: wpb.Item_VOLUME, Name: v.Name, Volume: &wpb.PlanVolume{Plan: v.Plan, Hosts: v.Hosts, Cell: v.Cell}})
+	}
+	p.state.Want(&wpb.Item{Kind: wpb.Item_HOSTS, Hosts: conf.Edges})
+
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", conf.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for edges; is another planner on this address? %w", err)
+	}
+	inner, stop := context.WithCancel(ctx)
+	defer stop()
+	p.stop = stop
+	server := grpc.NewServer(append(creds, grpc.MaxRecvMsgSize(mostBytes), grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: stall}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}))...)
+	wpb.RegisterPlanningServer(server, p)
+	var wg sync.WaitGroup
+	defer p.wg.Wait()
+	defer wg.Wait()
+	wg.Add(2)
+	go func() { defer wg.Done(); p.beat(inner) }()
+	lister := listconn.New(listconn.Config{Address: conf.ListService, Name: conf.Name, Asked: conf.Fleet.ListAsked, Limits: settings.Bounds(nil), Seed: time.Now().UnixNano(),
+		Log: log, Sink: p})
+	lister.Watch(true)
+	go func() { defer wg.Done(); lister.Run(inner) }()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		<-inner.Done()
+		server.Stop()
+	}()
+	log.Info("serving", "address", l.Addr().String(), "term", p.state.Tenure().Term, "generation", saved.Generation, "things", len(saved.Items))
+	if o.Ready != nil {
+		o.Ready(l.Addr().String())
+	}
+	err = server.Serve(l)
+	stop()
+	if ctx.Err() != nil || errors.Is(err, grpc.ErrServerStopped) {
+		return nil
+	}
+	return err
+}
+
+// restore lets the beliefs know what was written before.
+func (p *Planner) restore(items []*wpb.Item) {
+	var all []fleetdecide.Belief
+	for _, x := range items {
+		b := x.GetBrick()
+		if x.Kind != wpb.Item_BRICK || b == nil {
+			continue
+		}
+		drained := time.Duration(b.Drained)
+		if b.Drained == -1 {
+			drained = now()
+		}
+		all = append(all, fleetdecide.Belief{From: fleetdecide.Saved, Drained: drained, Why: "as written", Line: fleetdecide.Line{Name: x.Name, Address: b.Address,
+			Zone: b.Zone, Cell: int(b.Cell), Serving: b.Serving, Gone: x.Gone, Started: time.Duration(b.Started), At: now()}})
+	}
+	p.beliefs.Restore(all, fleetdecide.Generation{}, now())
+}
+
+// wants is the planner as its beliefs see it: what they tell becomes what it wants to write.
+type wants Planner
+
+func (w *wants) BrickIs(name, address, zone string, cell int, serving, gone bool, boot time.Duration) {
+	b := &wpb.PlanBrick{Address: address, Zone: zone, Cell: int64(cell), Serving: serving && !gone}
+	for _, x := range w.beliefs.Beliefs() {
+		if x.Name == name {
+			b.Started, b.Drained = int64(x.Started), int64(x.Drained)
+		}
+	}
+	w.state.Want(&wpb.Item{Kind: wpb.Item_BRICK, Name: name, Gone: gone, Brick: b})
+}
+
+// List, ListFailed and ListHolds are what the list service says.
+func (p *Planner) List(g fleetdecide.Generation, whole bool, lines []hostloop.BrickLine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := now()
+	all := make([]fleetdecide.Line, len(lines))
+	for i, l := range lines {
+		all[i] = fleetdecide.Line{Name: l.Name, Address: l.Address, Zone: l.Zone, Cell: l.Cell, Serving: l.Serving && !l.Gone, Gone: l.Gone, At: at}
+		if l.Dated {
+			all[i].Started = at - max(l.Age, 0)
+		}
+	}
+	p.beliefs.ListIs(g, whole, all, at)
+	p.write()
+}
+func (p *Planner) ListFailed() {}
+func (p *Planner) ListHolds() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beliefs.ListHolds(now())
+}
+
+// write writes what is wanted, if it may, and wakes all streams. Under mu.
+func (p *Planner) write() {
+	changed, err := p.state.Write(now())
+	if err != nil {
+		p.log.Warn("nothing new is given out: it can't be written down; trying on", "err", err)
+	}
+	if len(changed) > 0 {
+		p.wake()
+	}
+}
+
+func (p *Planner) wake() {
+	for _, s := range p.streams {
+		select {
+		case s.wake <- true:
+		default:
+		}
+	}
+}
+
+// beat lets all edges renew the lease.
+func (p *Planner) beat(ctx context.Context) {
+	tick := time.NewTicker(p.lease / 5)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		p.mu.Lock()
+		p.state.Beat(now())
+		p.beliefs.Age(now())
+		p.write()
+		p.wake()
+		p.mu.Unlock()
+	}
+}
+
+// who checks that an edge goes by the name in its certificate.
+func who(ctx context.Context, name string) error {
+	pr, ok := peer.FromContext(ctx)
+	if !ok {
+		return nil
+	}
+	t, ok := pr.AuthInfo.(credentials.TLSInfo)
+	if !ok || len(t.State.PeerCertificates) == 0 {
+		return nil
+	}
+	if c := t.State.PeerCertificates[0]; c.Subject.CommonName != name && !slices.Contains(c.DNSNames, name) {
+		return status.Errorf(codes.PermissionDenied, "the certificate of %q does not let it speak for %q", c.Subject.CommonName, name)
+	}
+	return nil
+}
+
+// Follow is an edge's stream.
+func (p *Planner) Follow(s grpc.BidiStreamingServer[wpb.EdgeSays, wpb.PlannerSays]) error {
+	ctx, end := context.WithCancel(s.Context())
+	defer end()
+	first, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	h := first.GetHello()
+	if h == nil || h.Name == "" {
+		return status.Error(codes.InvalidArgument, "an edge says hello first, with its name")
+	}
+	if h.Version+1 < Version {
+		return status.Errorf(codes.FailedPrecondition, "edge %s speaks version %d, this planner %d: at most one apart", h.Name, h.Version, Version)
+	}
+	if err := who(ctx, h.Name); err != nil {
+		return err
+	}
+	me := &stream{wake: make(chan bool, 1), name: h.Name, end: end}
+	p.mu.Lock()
+	if old := p.streams[h.Name]; old != nil {
+		old.end() // its connection is another one now
+	}
+	p.streams[h.Name] = me
+	ask, err := p.state.Hello(h.Name, h.Address, h.Tenure, h.Generation, h.Digest, h.Following, now())
+	tenure := p.state.Tenure()
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.streams[h.Name] == me {
+			delete(p.streams, h.Name)
+			p.state.Gone(h.Name, now())
+		}
+	}()
+	if err != nil {
+		p.log.Info("edge sent back", "edge", h.Name, "why", err)
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	out := make(chan *wpb.PlannerSays) // one message at a time: what waits, waits in the state
+	failed := make(chan error, 2)
+	p.wg.Add(2)
+	go func() { // ends with the stream: a Send that hangs is let go when this handler returns
+		defer p.wg.Done()
+		for {
+			select {
+			case m := <-out:
+				if err := s.Send(m); err != nil {
+					failed <- err
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	go func() {
+		defer p.wg.Done()
+		failed <- p.read(s, h.Name)
+	}()
+	send := func(m *wpb.PlannerSays) error {
+		m.Tenure = tenure
+		t := time.NewTimer(stall)
+		defer t.Stop()
+		select {
+		case out <- m:
+			return nil
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			return status.Errorf(codes.DeadlineExceeded, "edge %s took nothing for %v", h.Name, stall)
+		}
+	}
+	if ask {
+		if err := send(&wpb.PlannerSays{What: &wpb.PlannerSays_Report{Report: &wpb.ReportAsk{}}}); err != nil {
+			return err
+		}
+	}
+	return p.follow(ctx, me, h, tenure, send, failed)
+}
+
+// follow sends an edge its view, then what changes, and beats between.
+func (p *Planner) follow(ctx context.Context, me *stream, h *wpb.EdgeHello, tenure *wpb.Tenure, send func(*wpb.PlannerSays) error, failed chan error) error {
+	at, digest, held := h.Generation, h.Digest, h.Tenure
+	rng := rand.New(rand.NewSource(time.Now().UnixNano()))
+	beat, told := uint64(0), false
+	for {
+		p.mu.Lock()
+		if view.Compare(p.state.Tenure(), tenure) != 0 { // raised since: it must hear that first
+			p.mu.Unlock()
+			return status.Error(codes.Unavailable, "the planner's term was raised; come again")
+		}
+		phase, latest := p.state.Phase(), p.state.BeatNow()
+		var part *wpb.ViewPart
+		var later time.Duration
+		if phase != decide.Recovering && phase != decide.Outranked {
+			var due bool
+			if part, due = p.state.View(me.name, held, at, digest); due {
+				var ok bool
+				if ok, later = p.state.Admit(me.name, now()); !ok {
+					part = nil
+				}
+			} else {
+				part = nil
+			}
+		}
+		generation := p.state.Generation()
+		p.mu.Unlock()
+		switch {
+		case part != nil:
+			for _, piece := range pieces(part) {
+				if err := send(&wpb.PlannerSays{What: &wpb.PlannerSays_Part{Part: piece}}); err != nil {
+					return err
+				}
+			}
+			at, digest, held, told = part.To, part.Digest, tenure, false
+			p.mu.Lock()
+			p.state.Sent(me.name, now())
+			p.mu.Unlock()
+			continue
+		case later > 0 && !told:
+			if err := send(&wpb.PlannerSays{What: &wpb.PlannerSays_Later{Later: &wpb.Later{After: int64(later)}}}); err != nil {
+				return err
+			}
+			told = true
+		}
+		if latest != beat {
+			if err := send(&wpb.PlannerSays{What: &wpb.PlannerSays_Alive{Alive: &wpb.Alive{Generation: generation, Beat: latest}}}); err != nil {
+				return err
+			}
+			beat = latest
+		}
+		var again <-chan time.Time
+		if later > 0 {
+			again = time.After(later + time.Duration(rng.Int63n(int64(later)/4+1)))
+		}
+		select {
+		case <-me.wake:
+		case <-again:
+		case err := <-failed:
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// pieces cuts a view into messages; only the last one has its digest.
+func pieces(p *wpb.ViewPart) []*wpb.ViewPart {
+	var all []*wpb.ViewPart
+	for items := range slices.Chunk(p.Item, partItems) {
+		all = append(all, &wpb.ViewPart{From: p.From, To: p.To, Whole: p.Whole, Item: items})
+	}
+	if len(all) == 0 {
+		all = []*wpb.ViewPart{{From: p.From, To: p.To, Whole: p.Whole}}
+	}
+	all[len(all)-1].Last, all[len(all)-1].Digest = true, p.Digest
+	return all
+}
+
+// read takes what an edge says until its stream ends.
+func (p *Planner) read(s grpc.BidiStreamingServer[wpb.EdgeSays, wpb.PlannerSays], name string) error {
+	var report []*wpb.Item
+	for {
+		m, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		p.mu.Lock()
+		switch x := m.What.(type) {
+		case *wpb.EdgeSays_Ack:
+			p.state.Ack(name, x.Ack.GetTenure(), x.Ack.Generation, x.Ack.Beat, now())
+		case *wpb.EdgeSays_Report:
+			if report = append(report, x.Report.Item...); len(report) > mostItems {
+				err = fmt.Errorf("a report of more than %d things", mostItems)
+			} else if err = p.state.Report(name, x.Report.Item, x.Report.Last, now()); err == nil && x.Report.Last {
+				p.reports[name], report = report, nil
+				p.heard(p.reports[name])
+				p.wake()
+			}
+		}
+		p.mu.Unlock()
+		if err != nil {
+			return status.Error(codes.ResourceExhausted, err.Error())
+		}
+	}
+}
+
+// heard lets the beliefs know what an edge told of bricks; its drains count, whatever the list says. Under mu.
+func (p *Planner) heard(items []*wpb.Item) {
+	var lines []fleetdecide.Line
+	for _, x := range items {
+		b := x.GetBrick()
+		if b == nil || !view.Drained(b) {
+			continue
+		}
+		lines = append(lines, fleetdecide.Line{Name: x.Name, Address: b.Address, Zone: b.Zone, Cell: int(b.Cell), Started: max(time.Duration(b.Started), time.Duration(b.Drained)),
+			At: now()})
+	}
+	if len(lines) > 0 {
+		p.beliefs.PeerSays(lines, now())
+		p.write()
+	}
+}
+
+// Place gives the place of a new object or extent; it is written down before it is given.
+func (p *Planner) Place(ctx context.Context, a *wpb.PlaceAsk) (*wpb.PlaceGiven, error) {
+	if err := who(ctx, a.Edge); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x, err := p.state.Place(a.Edge, a.Volume, a.Name, a.ButZone, now())
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &wpb.PlaceGiven{Tenure: p.state.Tenure(), Cell: x.Place.Cell, Generation: x.Generation}, nil
+}
+
+// Status tells an operator what it is doing.
+func (p *Planner) Status(_ context.Context, a *wpb.StatusAsk) (*wpb.StatusTold, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := &wpb.StatusTold{Tenure: p.state.Tenure(), Generation: p.state.Generation(), Phase: p.state.Phase().String(), Why: p.state.Why(now())}
+	if a.View {
+		t.Item = p.state.Items()
+	}
+	if a.Edges {
+		t.Edge = p.state.Edges(now())
+	}
+	if a.Diff != "" {
+		held, ok := p.reports[a.Diff]
+		if !ok {
+			return nil, status.Errorf(codes.NotFound, "edge %q has not reported to this planner", a.Diff)
+		}
+		t.Difference = decide.Difference(p.state.Items(), held, a.Diff)
+	}
+	return t, nil
+}
--- a/internal/plan/view/view.go
+++ b/internal/plan/view/view.go
@@ -247,3 +247,11 @@
 	v.items[k] = x
 	return true
 }
+
+// Given keeps a place that the planner gave to this edge, ahead of the view in which it comes: a planner that lost its disk right
+// after must learn of it.
+func (v *View) Given(x *wpb.Item) {
+	if old := v.items[KeyOf(x)]; old == nil || Later(x, old) {
+		v.items[KeyOf(x)] = x
+	}
+}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -70,6 +70,9 @@
 			c.across(fmt.Sprintf("network[%d]", i), strconv.Quote(n), "not a network such as 127.0.0.0/8")
 		}
 	}
+	if e.Planner != nil && e.Store == "" {
+		c.across("store", "", "missing; a planner's view is kept beside it")
+	}
 	f := e.Fleet
 	if f == nil {
 		return
