--- a/internal/plan/decide/decide.go
+++ b/internal/plan/decide/decide.go
@@ -222,6 +222,7 @@
 							w.Brick = &wpb.PlanBrick{}
 						}
 						w.Brick.Drained = view.Drain(w.Brick.Drained, d)
+						w.Brick.Serving = w.Brick.Serving && !view.Drained(w.Brick)
 					} else {
 						s.wanted[k] = y
 					}
@@ -406,14 +407,14 @@
 		s.hold(y)
 		delete(s.wanted, view.KeyOf(y))
 	}
-	s.forget()
+	s.Forget(s.rules.Tombstones)
 	return changed, nil
 }
 
-// forget drops the oldest tombstones beyond what is kept; edges older than these get the whole. Of a brick that was drained the
+// Forget drops the oldest tombstones beyond so many; edges older than these get the whole. Of a brick that was drained the
 // drain stays.
-func (s *State) forget() {
-	for i := 0; len(s.gone) > s.rules.Tombstones && i < len(s.gone); {
+func (s *State) Forget(most int) {
+	for i := 0; len(s.gone) > most && i < len(s.gone); {
 		k := s.gone[i]
 		x := s.items[k]
 		if x == nil || !x.Gone {
@@ -426,6 +427,7 @@
 		}
 		s.floor = max(s.floor, x.Generation)
 		delete(s.items, k)
+		s.summed = false
 		s.gone = slices.Delete(s.gone, i, i+1)
 	}
 }
--- a/internal/plan/follow/follow.go
+++ b/internal/plan/follow/follow.go
@@ -26,8 +26,7 @@
 const Version = 2
 
 const (
-	silent    = 10 * time.Second // a planner that says nothing for so long is left
-	retell    = time.Minute      // while a planner is followed its bricks are as fresh as its beats
+	retell    = time.Minute // while a planner is followed its bricks are as fresh as its beats
 	mostItems = 400000
 	partItems = 512
 	mostBytes = 4 << 20
@@ -48,6 +47,8 @@
 	Log     *slog.Logger
 	Sink    Sink
 	Seed    int64
+	// Silent is how long a planner may say nothing before it is left; 0: 10 s.
+	Silent time.Duration
 	// Wait between tries to reach a planner, at the least and at most; 0: 200 ms and 5 s.
 	Least, Most time.Duration
 }
@@ -74,6 +75,9 @@
 	if f.c.Least == 0 {
 		f.c.Least, f.c.Most = 200*time.Millisecond, 5*time.Second
 	}
+	if f.c.Silent == 0 {
+		f.c.Silent = 10 * time.Second
+	}
 	switch p := c.Planner; {
 	case p.Keys != nil:
 		k, err := keys.Load(p.Keys, c.Log)
@@ -198,7 +202,7 @@
 		}
 	}()
 	beat := uint64(0)
-	quiet := time.NewTimer(silent)
+	quiet := time.NewTimer(f.c.Silent)
 	defer quiet.Stop()
 	again := time.NewTicker(retell)
 	defer again.Stop()
@@ -208,7 +212,7 @@
 			if t.err != nil {
 				return heard, t.err
 			}
-			quiet.Reset(silent)
+			quiet.Reset(f.c.Silent)
 			says, err := f.hear(t.m, address, conn, cancel, &beat)
 			if err != nil {
 				return heard, err
@@ -235,7 +239,7 @@
 				f.c.Sink.Changed(items, true)
 			}
 		case <-quiet.C:
-			return heard, fmt.Errorf("the planner said nothing for %v", silent)
+			return heard, fmt.Errorf("the planner said nothing for %v", f.c.Silent)
 		case <-ctx.Done():
 			return heard, ctx.Err()
 		}
--- a/internal/plan/serve/serve.go
+++ b/internal/plan/serve/serve.go
@@ -80,7 +80,9 @@
 func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 // Run serves until ctx ends.
-func Run(ctx context.Context, conf *wpb.PlannerConf, o Options) error {
+func Run(ctx context.Context, conf *wpb.PlannerConf, o Options) error { return run(ctx, conf, o, nil) }
+
+func run(ctx context.Context, conf *wpb.PlannerConf, o Options, made func(p *Planner)) error {
 	if o.Log == nil {
 		o.Log = slog.Default()
 	}
@@ -161,6 +163,9 @@
 		server.Stop()
 	}()
 	log.Info("serving", "address", l.Addr().String(), "term", p.state.Tenure().Term, "generation", saved.Generation, "things", len(saved.Items))
+	if made != nil {
+		made(p)
+	}
 	if o.Ready != nil {
 		o.Ready(l.Addr().String())
 	}
@@ -524,3 +529,10 @@
 	}
 	return t, nil
 }
+
+// Digest is that of the view that edges should hold.
+func (p *Planner) Digest() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Digest()
+}
