Planner tells what it hears of bricks also without the lease; a whole view when changes don't fit

And the property test found an edge that held a thing its planner had forgotten and never came into step. Change: bricks heard of go to edges as evidence, no part of the view, while the lease is not held; an edge whose changes don't fit says so, tells what it holds and gets the whole.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -17,6 +17,7 @@
 	"weirhaven/internal/audit"
 	"weirhaven/internal/drill"
 	"weirhaven/internal/edge"
+	"weirhaven/internal/plan/serve"
 	"weirhaven/internal/record"
 	"weirhaven/internal/settings"
 	"weirhaven/internal/standin/direct"
@@ -47,7 +48,8 @@
 		Lister standinLister `cmd:"" help:"A stand-in for the list service."`
 		Client standinClient `cmd:"" help:"A stand-in for clients."`
 	} `cmd:"" help:"Start one stand-in alone."`
-	Edge edgeRun `cmd:"" hidden:"" help:"A host, as weiredge; drills start theirs by it."`
+	Edge    edgeRun    `cmd:"" hidden:"" help:"A host, as weiredge; drills start theirs by it."`
+	Planner plannerRun `cmd:"" hidden:"" help:"A planner, as weirplan; drills start theirs by it."`
 }
 
 type edgeRun struct {
@@ -62,6 +64,10 @@
 	return c.Execute(edge.Start)
 }
 
+type plannerRun struct{ serve.Command }
+
+func (c *plannerRun) Run() error { return c.Execute(edge.Logger) }
+
 type drillList struct{}
 
 func (drillList) Run() error {
@@ -90,6 +96,7 @@
 	Ages     []time.Duration `help:"Play the drill without its list service, from saved lists of these ages, and with it, same seed; print a table." placeholder:"AGE"`
 	Length   time.Duration   `help:"So long instead, the troubles again and again."`
 	State    time.Duration   `help:"Hosts log what they hold this often (JSON, to --logs); a table tells whether it stays flat."`
+	Calm     bool            `help:"Play the same seed with the planner left in peace, too, and print how the services compare."`
 	Capture  string          `help:"Let hosts record their load into this folder; fleet.txtpb there describes the fleet." placeholder:"DIR"`
 	Logs     string          `help:"Append what the hosts log to this file." placeholder:"FILE"`
 }
@@ -201,15 +208,21 @@
 		host = []string{c.Edge, "--bound"}
 	}
 	names := []string{"weirhaven"}
+	if c.Calm {
+		names = append(names, "calm")
+	}
 	if c.Baseline != "" {
 		names = append(names, c.Baseline)
 	}
 	var arms []arm
 	for i, name := range names {
-		if i > 0 {
+		if name == "calm" {
+			d = drill.Calm(d)
+		} else if i > 0 {
 			host = []string{self, "edge", "--bound", "--baseline", name}
 		}
-		r, err := drill.Run(ctx, d, drill.Options{Seed: seed, Host: host, Arm: name, Logs: logs, State: c.State, Capture: c.Capture})
+		r, err := drill.Run(ctx, d, drill.Options{Seed: seed, Host: host, Arm: name, Logs: logs, State: c.State, Capture: c.Capture,
+			Planner: []string{self, "planner", "--bound"}})
 		if err != nil {
 			return nil, err
 		}
@@ -254,6 +267,13 @@
 		for _, x := range a.Exits {
 			fmt.Printf("%s: %s\n", a.Name, x)
 		}
+		if a.Result.Planner.Kills > 0 {
+			fmt.Printf("%s: planner killed %d times, of these %d onto an older disk or none, stalled %d times\n", a.Name, a.Result.Planner.Kills, a.Result.Planner.Old,
+				a.Result.Planner.Stalls)
+		}
+		if a.Name == "calm" {
+			fmt.Printf("service: %.3f of that with the planner left in peace\n", arms[0].Verdict.Whole().Part()/a.Verdict.Whole().Part())
+		}
 	}
 	breaches(os.Stdout, arms[0].Verdict)
 	return nil
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -72,6 +72,8 @@
 	Logs io.Writer
 	// State lets hosts log what they hold this often, as JSON; 0: not.
 	State time.Duration
+	// Planner is the command that runs a planner; "--config FILE" is added. Drills with a planner need it.
+	Planner []string
 	// Capture lets hosts record their load into this folder.
 	Capture string
 	// Blur is how late the observer may read; 0: 50 ms.
@@ -84,8 +86,12 @@
 	Seen    []*wpb.Seen
 	Verdict *audit.Verdict
 	Exits   []string // of hosts told to stop that did not end well
+	Planner PlannerTroubles
 }
 
+// PlannerTroubles counts what a planner went through.
+type PlannerTroubles struct{ Kills, Old, Stalls int }
+
 type hostProcess struct {
 	no          int
 	incarnation atomic.Uint32
@@ -108,6 +114,7 @@
 	ip    string
 	hosts []*hostProcess
 	list  *lister.Service
+	plan  *plannerProcess // nil: none
 	load  *client.Load
 	meter *brick.Meter
 	tags  map[string]*brick.Tags
@@ -152,7 +159,7 @@
 	h := &wpb.Header{Seed: o.Seed, Drill: d.Name, Fleet: d.Fleet, QueueType: d.QueueType, Plan: d.Plan, Hosts: d.Hosts,
 		Blur: int64(o.Blur), Arm: o.Arm}
 	seen := r.rec.All()
-	return &Result{Header: h, Seen: seen, Verdict: audit.Judge(h, seen), Exits: r.exits}, nil
+	return &Result{Header: h, Seen: seen, Verdict: audit.Judge(h, seen), Exits: r.exits, Planner: r.plan.went()}, nil
 }
 
 var runs atomic.Int64
@@ -160,6 +167,7 @@
 func (r *runner) run(ctx context.Context) (err error) {
 	defer func() {
 		r.killAll()
+		r.plan.kill()
 		r.wg.Wait()
 		r.mu.Lock()
 		all := append(slices.Clone(r.bricks), r.old...)
@@ -174,9 +182,17 @@
 	if err := r.startBricks(); err != nil {
 		return err
 	}
+	if r.d.Planner {
+		if err := r.startPlanner(ctx); err != nil {
+			return err
+		}
+	}
 	if err := r.startHosts(ctx); err != nil {
 		return err
 	}
+	if err := r.plan.settled(ctx, len(r.hosts)); err != nil {
+		return err
+	}
 	volumes := r.volumes()
 	h := r.d.Fleet
 	r.load = client.Start(client.Config{Hosts: func(i int) string { return r.hosts[i].address }, Count: len(r.hosts),
@@ -407,9 +423,12 @@
 		Ordinal: uint32(p.no), Hosts: r.d.Hosts, Zone: r.slots[0].zone, Seed: r.o.Seed*1000 + int64(p.no)*16 + int64(p.incarnation.Load()) + 1,
 		Fleet: r.d.Fleet, QueueType: r.d.QueueType, Plan: r.d.Plan, Bounds: r.d.Bounds}
 	e.Store, e.Network = r.storeOf(p), []string{"127.0.0.0/8"}
-	if r.d.GetList().GetAbsent() {
+	if r.d.GetList().GetAbsent() || r.d.Planner {
 		e.ListService = ""
 	}
+	if r.d.Planner {
+		e.Planner = &wpb.Planner{Address: []string{r.plan.address}, Plain: true}
+	}
 	for _, x := range r.hosts {
 		if x != p {
 			e.Peer = append(e.Peer, &wpb.Peer{Ordinal: uint32(x.no), Address: x.peers})
--- /dev/null
+++ b/internal/drill/planner.go
@@ -0,0 +1,263 @@
+package drill
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
+
+	"weirhaven/internal/settings"
+	"weirhaven/internal/wpb"
+)
+
+// plannerProcess is the planner of a drill. A nil one is none.
+type plannerProcess struct {
+	r        *runner
+	address  string
+	file     string // settings
+	disk     string
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	stopped  bool // by SIGSTOP
+	over     bool
+	troubles PlannerTroubles
+}
+
+// Calm is a drill whose planner is left in peace.
+func Calm(d *wpb.Drill) *wpb.Drill {
+	c := proto.Clone(d).(*wpb.Drill)
+	c.Trouble = slices.DeleteFunc(c.Trouble, func(t *wpb.Trouble) bool { return t.Kind >= wpb.Trouble_PLANNER_KILL })
+	return c
+}
+
+func (r *runner) startPlanner(ctx context.Context) error {
+	if len(r.o.Planner) == 0 {
+		return fmt.Errorf("drill %s needs a planner, and no program was given for one", r.d.Name)
+	}
+	l, err := net.Listen("tcp", r.ip+":0") // its port stays its own: no other run uses the address
+	if err != nil {
+		return err
+	}
+	address := l.Addr().String()
+	l.Close()
+	p := &plannerProcess{r: r, address: address, file: filepath.Join(r.dir, "planner.txtpb"), disk: filepath.Join(r.dir, "planner.db")}
+	conf := &wpb.PlannerConf{Name: "planner", Listen: address, ListService: r.list.Address(), Store: p.disk, Plain: true, Fleet: r.d.Fleet, Plan: r.d.Plan, Edges: r.d.Hosts,
+		Lease: "500ms", Recover: "500ms"}
+	n := 0
+	for _, g := range r.d.Volumes {
+		for range g.Count {
+			conf.Volume = append(conf.Volume, &wpb.PlannedVolume{Name: volumeName(g.Plan, n), Plan: g.Plan, Hosts: min(g.Hosts, r.d.Hosts)})
+			n++
+		}
+	}
+	text, err := settings.Text(conf)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.file, text, 0o600); err != nil {
+		return err
+	}
+	r.plan = p
+	return p.start(ctx)
+}
+
+func (p *plannerProcess) start(ctx context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return nil
+	}
+	cmd := exec.Command(p.r.o.Planner[0], append(slices.Clone(p.r.o.Planner[1:]), "--config", p.file)...)
+	cmd.Env = append(os.Environ(), p.r.o.Env...)
+	tail := &tail{to: p.r.o.Logs}
+	cmd.Stderr = tail
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if _, err := cmd.StdinPipe(); err != nil { // it ends by itself when this pipe does
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start the planner: %w", err)
+	}
+	p.cmd, p.exited, p.stopped = cmd, make(chan struct{}), false
+	exited := p.exited
+	ready := make(chan bool, 1)
+	go func() {
+		line, _ := bufio.NewReader(out).ReadString('\n')
+		if strings.HasPrefix(line, "READY ") {
+			ready <- true
+		}
+		cmd.Wait()
+		close(exited)
+	}()
+	select {
+	case <-ready:
+		return nil
+	case <-exited:
+		return fmt.Errorf("the planner ended at its start\n%s", tail.last())
+	case <-time.After(20 * time.Second):
+		cmd.Process.Kill()
+		return fmt.Errorf("the planner did not serve within 20 s\n%s", tail.last())
+	case <-ctx.Done():
+		cmd.Process.Kill()
+		return ctx.Err()
+	}
+}
+
+// settled waits until all edges hold the planner's view.
+func (p *plannerProcess) settled(ctx context.Context, edges int) error {
+	if p == nil {
+		return nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+p.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	for end := time.Now().Add(20 * time.Second); ; {
+		t, err := wpb.NewPlanningClient(conn).Status(ctx, &wpb.StatusAsk{Edges: true, View: true})
+		held, bricks := 0, 0
+		for _, x := range t.GetItem() {
+			if x.Brick != nil {
+				bricks++
+			}
+		}
+		for _, e := range t.GetEdge() {
+			if e.Generation == t.Generation && t.Generation > 0 {
+				held++
+			}
+		}
+		if err == nil && held == edges && bricks >= len(p.r.slots) {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("the planner did not get %d hosts into step within 20 s: %v, %s %s", edges, err, t.GetPhase(), t.GetWhy())
+		}
+		if !wait(ctx, time.Now().Add(20*time.Millisecond)) {
+			return ctx.Err()
+		}
+	}
+}
+
+// end is SIGKILL.
+func (p *plannerProcess) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		p.cmd.Process.Kill()
+		<-p.exited
+		p.cmd = nil
+	}
+}
+
+func (p *plannerProcess) kill() {
+	if p != nil {
+		p.mu.Lock()
+		p.over = true
+		p.mu.Unlock()
+		p.end()
+	}
+}
+
+func (p *plannerProcess) went() PlannerTroubles {
+	if p == nil {
+		return PlannerTroubles{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.troubles
+}
+
+func (p *plannerProcess) count(f func(t *PlannerTroubles)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(&p.troubles)
+}
+
+// troublePlanner plays what a planner goes through.
+func (r *runner) troublePlanner(ctx context.Context, t *wpb.Trouble, begin, end time.Time, back time.Duration, rng *rand.Rand) {
+	p := r.plan
+	if p == nil {
+		return
+	}
+	every := time.Duration(t.Extra * float64(time.Second))
+	switch t.Kind {
+	case wpb.Trouble_PLANNER_KILL:
+		for at := begin; at.Before(end); at = at.Add(max(every, 100*time.Millisecond)) {
+			if !wait(ctx, at.Add(time.Duration(rng.Int63n(int64(max(every/2, time.Millisecond)))))) {
+				return
+			}
+			p.count(func(t *PlannerTroubles) { t.Kills++ })
+			p.end()
+			if !wait(ctx, time.Now().Add(back)) || p.start(ctx) != nil {
+				return
+			}
+		}
+	case wpb.Trouble_PLANNER_STALL:
+		p.mu.Lock()
+		if p.cmd != nil {
+			p.cmd.Process.Signal(syscall.SIGSTOP)
+			p.troubles.Stalls++
+		}
+		cmd := p.cmd
+		p.mu.Unlock()
+		wait(ctx, end)
+		if cmd != nil {
+			cmd.Process.Signal(syscall.SIGCONT)
+		}
+	case wpb.Trouble_PLANNER_OLD:
+		old := p.disk + ".old"
+		if every > 0 { // the copy is made between two lives: a file in use can't be copied from outside
+			p.end()
+			if copyFile(p.disk, old) != nil || p.start(ctx) != nil {
+				return
+			}
+			if !wait(ctx, time.Now().Add(every)) {
+				return
+			}
+		}
+		p.count(func(t *PlannerTroubles) { t.Kills++; t.Old++ })
+		p.end()
+		os.Remove(p.disk)
+		if every > 0 {
+			os.Rename(old, p.disk)
+		}
+		if wait(ctx, time.Now().Add(back)) {
+			p.start(ctx)
+		}
+	}
+}
+
+func copyFile(from, to string) error {
+	in, err := os.Open(from)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	out, err := os.Create(to)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(out, in); err != nil {
+		out.Close()
+		return err
+	}
+	return out.Close()
+}
--- a/internal/drill/trouble.go
+++ b/internal/drill/trouble.go
@@ -102,6 +102,8 @@
 				return
 			}
 		}
+	case wpb.Trouble_PLANNER_KILL, wpb.Trouble_PLANNER_STALL, wpb.Trouble_PLANNER_OLD:
+		r.troublePlanner(ctx, t, begin, end, back, rng)
 	case wpb.Trouble_CLIENTS_STALL:
 		r.load.Stall(t.Size, length)
 	default:
--- a/internal/plan/decide/decide.go
+++ b/internal/plan/decide/decide.go
@@ -134,7 +134,7 @@
 
 // Hello is an edge that came. ask: it must say what it holds first. The error is for the operator's eyes; the edge is told to
 // come back.
-func (s *State) Hello(name, address string, tenure *wpb.Tenure, generation, digest uint64, following bool, now time.Duration) (ask bool, err error) {
+func (s *State) Hello(name, address string, tenure *wpb.Tenure, generation, digest uint64, following, whole bool, now time.Duration) (ask bool, err error) {
 	e := s.edges[name]
 	if e == nil {
 		if len(s.edges) >= 1<<16 {
@@ -161,7 +161,7 @@
 		s.log(fmt.Sprintf("edge %s holds generation %d, later than any known here", name, generation))
 		e.reported = false
 	}
-	if generation == s.generation && digest != s.Digest() || tenure.GetTerm() > 0 && !s.kin(tenure) {
+	if whole || generation == s.generation && digest != s.Digest() || tenure.GetTerm() > 0 && !s.kin(tenure) {
 		e.reported = false
 	}
 	ask = !e.reported
@@ -527,13 +527,17 @@
 }
 
 // View is what an edge that stands at a generation of this planner's lineage is to be sent: nothing, changes, or the whole.
-func (s *State) View(name string, tenure *wpb.Tenure, generation, digest uint64) (p *wpb.ViewPart, send bool) {
+// whole: it asked for the whole; that waits until it has said what it holds, since what doesn't fit may be news.
+func (s *State) View(name string, tenure *wpb.Tenure, generation, digest uint64, whole bool) (p *wpb.ViewPart, send bool) {
+	if e := s.edges[name]; whole && e != nil && !e.reported {
+		return nil, false
+	}
 	same := s.kin(tenure) // if its history was another one all the same, the digest tells
-	if same && generation == s.generation && digest == s.Digest() {
+	if same && !whole && generation == s.generation && digest == s.Digest() {
 		return nil, false
 	}
 	p = &wpb.ViewPart{From: generation, To: s.generation, Digest: s.Digest(), Last: true}
-	p.Whole = !same || generation < s.floor || generation > s.generation || generation == s.generation
+	p.Whole = whole || !same || generation < s.floor || generation > s.generation || generation == s.generation
 	if p.Whole {
 		p.From = 0
 	}
--- a/internal/plan/decide/decide_test.go
+++ b/internal/plan/decide/decide_test.go
@@ -58,11 +58,13 @@
 	at       uint64
 	digest   uint64
 	held     *wpb.Tenure
+	whole    bool
 }
 
 type anEdge struct {
 	v         *view.View
 	following *planner
+	whole     bool
 	drained   map[string]int64
 	places    map[string]uint32
 }
@@ -97,8 +99,8 @@
 
 func (w *world) connect(p *planner, i int) {
 	e := w.edges[i]
-	c := &conn{at: e.v.Generation(), digest: e.v.Digest(), held: e.v.Tenure()}
-	ask, err := p.Hello(fmt.Sprint("e", i), "a", e.v.Tenure(), e.v.Generation(), e.v.Digest(), e.following != nil && e.following != p && e.following.up, w.clock(p))
+	c := &conn{at: e.v.Generation(), digest: e.v.Digest(), held: e.v.Tenure(), whole: e.whole}
+	ask, err := p.Hello(fmt.Sprint("e", i), "a", e.v.Tenure(), e.v.Generation(), e.v.Digest(), e.following != nil && e.following != p && e.following.up, e.whole, w.clock(p))
 	if err != nil {
 		return
 	}
@@ -145,7 +147,7 @@
 	if len(c.to) == 0 {
 		ph := p.Tick(w.clock(p))
 		if ph != Recovering && ph != Outranked {
-			if part, due := p.View(name, c.held, c.at, c.digest); due {
+			if part, due := p.View(name, c.held, c.at, c.digest, c.whole); due {
 				if ok, _ := p.Admit(name, w.clock(p)); ok {
 					for k, x := range part.Item { // in pieces of one
 						c.to = append(c.to, &wpb.PlannerSays{Tenure: proto.Clone(p.Tenure()).(*wpb.Tenure), What: &wpb.PlannerSays_Part{Part: &wpb.ViewPart{
@@ -154,7 +156,7 @@
 					}
 					c.to = append(c.to, &wpb.PlannerSays{Tenure: proto.Clone(p.Tenure()).(*wpb.Tenure), What: &wpb.PlannerSays_Part{Part: &wpb.ViewPart{
 						From: part.From, To: part.To, Whole: part.Whole, Last: true, Digest: part.Digest}}})
-					c.at, c.digest, c.held = part.To, part.Digest, p.Tenure()
+					c.at, c.digest, c.held, c.whole = part.To, part.Digest, p.Tenure(), false
 					return
 				}
 			}
@@ -183,10 +185,12 @@
 	case *wpb.PlannerSays_Part:
 		t, err := e.v.Part(m.Tenure, x.Part)
 		if err != nil || t.Whole {
+			e.whole = !x.Part.Whole
 			w.cut(p, i)
 			return
 		}
 		if t.Last {
+			e.whole = false
 			p.Sent(name, w.clock(p))
 			c.from = append(c.from, &wpb.EdgeAck{Tenure: e.v.Tenure(), Generation: e.v.Generation()})
 		}
@@ -360,7 +364,7 @@
 	come := map[string]time.Duration{}
 	for i := range 100 {
 		name := fmt.Sprintf("e%02d", i)
-		s.Hello(name, "", nil, 0, 0, false, now)
+		s.Hello(name, "", nil, 0, 0, false, false, now)
 		come[name] = now
 	}
 	var order []string
@@ -407,7 +411,7 @@
 	s, _ := New("a", 1, nil, 0, nil, r, d, func(string) {}, 0)
 	now := time.Duration(0)
 	hold := func() {
-		s.Hello("e", "", s.Tenure(), s.Generation(), s.Digest(), false, now)
+		s.Hello("e", "", s.Tenure(), s.Generation(), s.Digest(), false, false, now)
 		s.Report("e", nil, true, now)
 		for range 40 {
 			now += 100 * time.Millisecond
--- a/internal/plan/follow/follow.go
+++ b/internal/plan/follow/follow.go
@@ -168,10 +168,7 @@
 	}
 	f.mu.Lock()
 	hello := &wpb.EdgeHello{Version: Version, Name: f.c.Name, Address: f.c.Address, Tenure: f.view.Tenure(), Generation: f.view.Generation(), Digest: f.view.Digest(),
-		Following: f.following != "" && f.following != address}
-	if f.whole {
-		hello.Generation, hello.Digest = 0, 0
-	}
+		Following: f.following != "" && f.following != address, Whole: f.whole}
 	f.mu.Unlock()
 	if err := s.Send(&wpb.EdgeSays{What: &wpb.EdgeSays_Hello{Hello: hello}}); err != nil {
 		_, rerr := s.Recv() // what the planner said of it
@@ -285,6 +282,17 @@
 	switch x := m.What.(type) {
 	case *wpb.PlannerSays_Report:
 		return f.reported(), nil
+	case *wpb.PlannerSays_News: // not of the view: used as any other's word, kept only where it drains
+		for i, n := range x.News.Item {
+			x.News.Item[i] = f.view.Evidence(n)
+			if d := n.GetBrick().GetDrained(); d != 0 && f.view.Learn(n.Name, d) {
+				if err := f.store.Keep(f.view.Tenure(), f.view.Generation(), []*wpb.Item{f.view.Get(view.KeyOf(n))}); err != nil {
+					f.c.Log.Warn("a drain can't be written down", "brick", n.Name, "err", err)
+				}
+			}
+		}
+		f.c.Sink.Changed(x.News.Item, true)
+		return nil, nil
 	case *wpb.PlannerSays_Alive:
 		*beat = x.Alive.Beat
 	case *wpb.PlannerSays_Part:
--- a/internal/plan/serve/serve.go
+++ b/internal/plan/serve/serve.go
@@ -65,6 +65,7 @@
 	beliefs *fleetdecide.Fleet
 	streams map[string]*stream
 	reports map[string][]*wpb.Item // the latest of each edge, for diff
+	lists   int                    // heard so far
 	lease   time.Duration
 	stop    context.CancelFunc
 	wg      sync.WaitGroup // of streams: they end once their handler has returned
@@ -221,7 +222,9 @@
 		}
 	}
 	p.beliefs.ListIs(g, whole, all, at)
+	p.lists++
 	p.write()
+	p.wake()
 }
 func (p *Planner) ListFailed() {}
 func (p *Planner) ListHolds() {
@@ -309,7 +312,7 @@
 		old.end() // its connection is another one now
 	}
 	p.streams[h.Name] = me
-	ask, err := p.state.Hello(h.Name, h.Address, h.Tenure, h.Generation, h.Digest, h.Following, now())
+	ask, err := p.state.Hello(h.Name, h.Address, h.Tenure, h.Generation, h.Digest, h.Following, h.Whole, now())
 	tenure := p.state.Tenure()
 	p.mu.Unlock()
 	defer func() {
@@ -370,9 +373,9 @@
 
 // follow sends an edge its view, then what changes, and beats between.
 func (p *Planner) follow(ctx context.Context, me *stream, h *wpb.EdgeHello, tenure *wpb.Tenure, send func(*wpb.PlannerSays) error, failed chan error) error {
-	at, digest, held := h.Generation, h.Digest, h.Tenure
+	at, digest, held, whole := h.Generation, h.Digest, h.Tenure, h.Whole
 	rng := rand.New(rand.NewSource(time.Now().UnixNano()))
-	beat, told := uint64(0), false
+	beat, told, lists := uint64(0), false, 0
 	for {
 		p.mu.Lock()
 		if view.Compare(p.state.Tenure(), tenure) != 0 { // raised since: it must hear that first
@@ -384,7 +387,7 @@
 		var later time.Duration
 		if phase != decide.Recovering && phase != decide.Outranked {
 			var due bool
-			if part, due = p.state.View(me.name, held, at, digest); due {
+			if part, due = p.state.View(me.name, held, at, digest, whole); due {
 				var ok bool
 				if ok, later = p.state.Admit(me.name, now()); !ok {
 					part = nil
@@ -394,7 +397,18 @@
 			}
 		}
 		generation := p.state.Generation()
+		var news []*wpb.Item
+		if lists != p.lists && phase != decide.Outranked {
+			if lists = p.lists; phase != decide.Holding { // else it is written, and comes with the view
+				news = p.evidence()
+			}
+		}
 		p.mu.Unlock()
+		for piece := range slices.Chunk(news, partItems) {
+			if err := send(&wpb.PlannerSays{What: &wpb.PlannerSays_News{News: &wpb.PlannerNews{Item: piece}}}); err != nil {
+				return err
+			}
+		}
 		switch {
 		case part != nil:
 			for _, piece := range pieces(part) {
@@ -402,7 +416,7 @@
 					return err
 				}
 			}
-			at, digest, held, told = part.To, part.Digest, tenure, false
+			at, digest, held, told, whole = part.To, part.Digest, tenure, false, false
 			p.mu.Lock()
 			p.state.Sent(me.name, now())
 			p.mu.Unlock()
@@ -437,6 +451,18 @@
 	}
 }
 
+// evidence is what is believed of bricks, as items of no generation. Under mu.
+func (p *Planner) evidence() (all []*wpb.Item) {
+	for _, b := range p.beliefs.Beliefs() {
+		if b.From == fleetdecide.Saved { // what it held itself is no news
+			continue
+		}
+		all = append(all, &wpb.Item{Kind: wpb.Item_BRICK, Name: b.Name, Gone: b.Gone, Brick: &wpb.PlanBrick{Address: b.Address, Zone: b.Zone, Cell: int64(b.Cell),
+			Serving: b.Serving && !b.Gone, Started: int64(b.Started), Drained: int64(b.Drained)}})
+	}
+	return all
+}
+
 // pieces cuts a view into messages; only the last one has its digest.
 func pieces(p *wpb.ViewPart) []*wpb.ViewPart {
 	var all []*wpb.ViewPart
--- a/internal/plan/serve/serve_test.go
+++ b/internal/plan/serve/serve_test.go
@@ -196,15 +196,24 @@
 	return e
 }
 
+// holds is what stands in its view.
 func (e *edge) holds(k wpb.Item_Kind, name string) *wpb.Item {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if x := e.items[view.Key{Kind: k, Name: name}]; x != nil && !x.Gone {
-		return x
+	_, _, _, items := e.f.State()
+	for _, x := range items {
+		if x.Kind == k && x.Name == name && !x.Gone && x.Generation > 0 {
+			return x
+		}
 	}
 	return nil
 }
 
+// heard is what it was told last, by the view or as evidence.
+func (e *edge) heard(k wpb.Item_Kind, name string) *wpb.Item {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.items[view.Key{Kind: k, Name: name}]
+}
+
 // until waits for something to become true, and fails where it does not.
 func until(t testing.TB, what string, f func() bool) {
 	t.Helper()
@@ -434,14 +443,15 @@
 	for _, c := range []struct {
 		name string
 		say  []*wpb.PlannerSays
-		want uint64 // generation of the next hello
+		want uint64 // generation of the next hello, and whether it asks for the whole
+		all  bool
 	}{
-		{"half a view", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), part(5, 9, false, false, 0, item("b", 9))}, 5},
-		{"changes from too late", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), part(7, 9, false, true, 0, item("b", 9))}, 0},
-		{"does not add up", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), part(5, 9, false, true, 77, item("b", 9))}, 0},
-		{"older", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), part(0, 4, true, true, 0, item("b", 4))}, 5},
+		{"half a view", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), part(5, 9, false, false, 0, item("b", 9))}, 5, false},
+		{"changes from too late", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), part(7, 9, false, true, 0, item("b", 9))}, 5, true},
+		{"does not add up", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), part(5, 9, false, true, 77, item("b", 9))}, 5, true},
+		{"older", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), part(0, 4, true, true, 0, item("b", 4))}, 5, false},
 		{"lower term", []*wpb.PlannerSays{part(0, 5, true, true, sum, first...), {Tenure: &wpb.Tenure{Term: 2, Planner: "z"},
-			What: &wpb.PlannerSays_Part{Part: &wpb.ViewPart{To: 99, Whole: true, Last: true}}}}, 5},
+			What: &wpb.PlannerSays_Part{Part: &wpb.ViewPart{To: 99, Whole: true, Last: true}}}}, 5, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l, _ := net.Listen("tcp", "127.0.0.1:0")
@@ -454,7 +464,7 @@
 			if x := <-h.hellos; x.Generation != 0 {
 				t.Error(x)
 			}
-			if x := <-h.hellos; x.Generation != c.want || x.Tenure.GetTerm() != 3 {
+			if x := <-h.hellos; x.Generation != c.want || x.Whole != c.all || x.Tenure.GetTerm() != 3 {
 				t.Errorf("%v, wanted from generation %d", x, c.want)
 			}
 			if e.holds(wpb.Item_VOLUME, "a") == nil || e.holds(wpb.Item_VOLUME, "b") != nil {
@@ -579,6 +589,22 @@
 	}
 }
 
+// A planner that never lives long enough to hold the lease still tells what it hears of bricks: as evidence, no part of the view.
+func TestEvidenceWithoutLease(t *testing.T) {
+	p, address, _ := start(t, conf(t, "a", "127.0.0.1:0", 9, ""), Options{}) // one edge of nine: never a majority
+	e := follower(t, "e", filepath.Join(t.TempDir(), "e"), address)
+	list(p, 1, true, brick(0, true), brick(1, false))
+	until(t, "evidence", func() bool { return e.heard(wpb.Item_BRICK, "b0") != nil && e.heard(wpb.Item_BRICK, "b1") != nil })
+	if e.holds(wpb.Item_BRICK, "b0") != nil || e.holds(wpb.Item_VOLUME, "v") != nil {
+		t.Error("something was written without the lease")
+	}
+	if _, err := e.f.Place(context.Background(), "v", "object", ""); err == nil {
+		t.Error("a place without the lease")
+	}
+	list(p, 2, false, brick(0, false))
+	until(t, "a drain", func() bool { return view.Drained(e.heard(wpb.Item_BRICK, "b0").Brick) })
+}
+
 // Keys: both sides show theirs, names are checked, what is out of date or not trusted is refused with its reason, and changed files are
 // used without a restart.
 func TestKeys(t *testing.T) {
--- a/internal/plan/view/view.go
+++ b/internal/plan/view/view.go
@@ -255,3 +255,6 @@
 		v.items[KeyOf(x)] = x
 	}
 }
+
+// Evidence is a planner's word on a brick that is no part of the view, with what is known of its drains.
+func (v *View) Evidence(x *wpb.Item) *wpb.Item { return v.keepDrain(KeyOf(x), x) }
