--- a/internal/plan/decide/decide_test.go
+++ b/internal/plan/decide/decide_test.go
@@ -70,7 +70,10 @@
 }
 
 type world struct {
-	t        *rapid.T
+	t interface {
+		Fatalf(format string, args ...any)
+	}
+	life     func() uint64 // of a planner that starts
 	now      time.Duration
 	planners []*planner
 	edges    []*anEdge
@@ -87,9 +90,9 @@
 	for _, x := range d.items {
 		items = append(items, x)
 	}
-	s, err := New(name, rapid.Uint64().Draw(w.t, "life"), d.tenure, d.generation, items, rules, d, func(string) {}, time.Duration(float64(w.now)*speed))
+	s, err := New(name, w.life(), d.tenure, d.generation, items, rules, d, func(string) {}, time.Duration(float64(w.now)*speed))
 	if err != nil {
-		w.t.Fatal(err)
+		w.t.Fatalf("%v", err)
 	}
 	p.State = s
 	p.Want(&wpb.Item{Kind: wpb.Item_VOLUME, Name: "v", Volume: &wpb.PlanVolume{Plan: "p", Hosts: 2}})
@@ -233,7 +236,7 @@
 // are quiet one planner holds the lease and all edges hold its view.
 func TestAnythingGoes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{t: t, now: 100 * time.Hour, given: map[string]uint32{}}
+		w := &world{t: t, now: 100 * time.Hour, given: map[string]uint32{}, life: func() uint64 { return rapid.Uint64().Draw(t, "life") }}
 		for range 5 {
 			w.edges = append(w.edges, &anEdge{v: view.New(nil, 0, nil, 1000), drained: map[string]int64{}})
 		}
