--- a/internal/capacity/learn/learn.go
+++ b/internal/capacity/learn/learn.go
@@ -25,6 +25,9 @@
 // Fewest samples of a queue type, of busy begins and of outliers, before anything is read off them.
 const few, fewOutliers = 20, 8
 
+// Most dispatches of a brick that are looked at, the last ones: enough to be sure to a percent, and bounded however long the capture is.
+const mostOfBrick = 20000
+
 type sample struct {
 	at     time.Duration // its arrival
 	took   float64       // work and way, s
@@ -83,6 +86,9 @@
 	slices.Sort(names)
 	byKind := map[string][]string{}
 	for _, n := range names {
+		if all := bricks[n]; len(all) > mostOfBrick {
+			bricks[n] = all[len(all)-mostOfBrick:]
+		}
 		k := kindOf[n]
 		if k == "" {
 			k = f.Kind[0].Name
--- a/internal/capacity/study/study.go
+++ b/internal/capacity/study/study.go
@@ -452,11 +452,15 @@
 	}
 	cold := settings.Duration(s.Fleet.Rules.ColdFor, 0)
 	before, after := 6*time.Second, 8*time.Second
+	gone = max(gone.Truncate(time.Second), time.Second)
 	need := before + gone + cold + after
 	length := s.Wants[len(s.Wants)-1].At + time.Second
 	if need > length { // a short capture: each phase is shorter
 		scale := float64(length) / float64(need)
-		before, gone, after = time.Duration(float64(before)*scale), time.Duration(float64(gone)*scale), time.Duration(float64(after)*scale)
+		whole := func(d time.Duration) time.Duration { // results stand by second
+			return max(time.Duration(float64(d)*scale).Truncate(time.Second), time.Second)
+		}
+		before, gone, after = whole(before), whole(gone), whole(after)
 		need = before + gone + cold + after
 	}
 	heavy := s.stretch[0]
@@ -465,7 +469,7 @@
 			heavy = st
 		}
 	}
-	from := max(min(heavy.From+s.Length/2-before-gone/2, length-need), 0)
+	from := max(min((heavy.From+s.Length/2-before-gone/2).Truncate(time.Second), length-need), 0)
 	load := wants.Cut(s.Wants, from, from+need)
 	if len(load) == 0 {
 		return nil, fmt.Errorf("the capture holds no command in the stretch around its heaviest")
@@ -493,7 +497,7 @@
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
-	skip := min(3*time.Second, before/2)
+	skip := min(3*time.Second, (before / 2).Truncate(time.Second))
 	for _, p := range []Phase{{Name: "before", From: skip, To: before}, {Name: "while it is gone", From: before, To: before + gone},
 		{Name: "while its replacement is cold", From: before + gone, To: before + gone + cold}, {Name: "after", From: before + gone + cold, To: need}} {
 		if p.To-p.From >= time.Second/2 {
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -12,6 +12,7 @@
 	"weirhaven/internal/audit"
 	"weirhaven/internal/edge"
 	"weirhaven/internal/hostloop"
+	"weirhaven/internal/plan/serve"
 	"weirhaven/internal/settings"
 	"weirhaven/internal/wpb"
 	"weirhaven/policy"
@@ -20,6 +21,14 @@
 // The test binary is also the host program, so that hosts are processes here too. WRONG names the rule that such a
 // host breaks on purpose.
 func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == "planner" {
+		c := serve.Command{Config: os.Args[3], Bound: true}
+		if err := c.Execute(edge.Logger); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	if len(os.Args) == 4 && os.Args[1] == "edge" {
 		wrong, _ := strconv.Atoi(os.Getenv("WRONG"))
 		c := edge.Command{Config: os.Args[3], Bound: true}
@@ -185,6 +194,29 @@
 }
 
 // The list service goes and comes, tells half a list, an empty one, an old one, while a brick drains: service goes on and all rules hold.
+// Hosts that hear of bricks from the planner alone, while it is killed again and again and comes back with an old disk, with none, and
+// stalls: all rules kept, and served as if it had been left in peace. The whole day is weirctl drill run planner-killed --calm.
+func TestPlannerKilled(t *testing.T) {
+	t.Parallel()
+	d, err := Load("planner-killed")
+	if err != nil {
+		t.Fatal(err)
+	}
+	extra := &wpb.Drill{}
+	settings.Parse("troubles", []byte(`
+		trouble { kind: PLANNER_KILL at: "300ms" length: "4s" extra: 1.2 back: "100ms" }
+		trouble { kind: PREEMPT at: "1500ms" length: "600ms" on: 1 back: "300ms" }
+		trouble { kind: PLANNER_OLD at: "5s" extra: 0.4 back: "100ms" }
+		trouble { kind: PLANNER_OLD at: "6200ms" back: "100ms" }
+		trouble { kind: PLANNER_STALL at: "7s" length: "800ms" }`), extra)
+	d.Length, d.Trouble = "8s", extra.Trouble
+	r := play(t, d, Options{Seed: 2, Host: []string{os.Args[0], "edge"}, Planner: []string{os.Args[0], "planner"}})
+	complain(t, r)
+	if s := r.Verdict.Whole().Part(); s < 0.85 || r.Planner.Kills < 5 || r.Planner.Old != 2 || r.Planner.Stalls != 1 {
+		t.Errorf("service %.3f, %+v", s, r.Planner)
+	}
+}
+
 func TestListFlaps(t *testing.T) {
 	t.Parallel()
 	r := play(t, short(t, "3s", `
--- a/internal/plan/decide/decide_test.go
+++ b/internal/plan/decide/decide_test.go
@@ -64,6 +64,7 @@
 type anEdge struct {
 	v         *view.View
 	following *planner
+	from      *wpb.Tenure // under which its view was told
 	whole     bool
 	drained   map[string]int64
 	places    map[string]uint32
@@ -193,7 +194,7 @@
 			return
 		}
 		if t.Last {
-			e.whole = false
+			e.whole, e.from = false, proto.Clone(m.Tenure).(*wpb.Tenure)
 			p.Sent(name, w.clock(p))
 			c.from = append(c.from, &wpb.EdgeAck{Tenure: e.v.Tenure(), Generation: e.v.Generation()})
 		}
--- a/internal/plan/decide/explore_test.go
+++ b/internal/plan/decide/explore_test.go
@@ -42,7 +42,7 @@
 func (catcher) Fatalf(format string, args ...any) { panic(breach{fmt.Sprintf(format, args...)}) }
 
 // play plays actions from the beginning; the properties are checked after each: no two planners hold the lease at once; no edge's
-// generation falls, no edge's tenure falls; no drain is forgotten; two edges that hold one generation of one tenure hold the same.
+// generation falls, no edge's tenure falls; no drain is forgotten; two edges that were told one generation under one tenure hold the same.
 func play(trace []action) (w *world, why string) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -111,7 +111,7 @@
 			was[i] = stand{e.v.Generation(), e.v.Tenure()}
 		}
 		x, y := w.edges[0].v, w.edges[1].v
-		if x.Generation() == y.Generation() && x.Generation() > 0 && view.Compare(x.Tenure(), y.Tenure()) == 0 && x.Digest() != y.Digest() && !w.unfit() {
+		if x.Generation() == y.Generation() && x.Generation() > 0 && w.edges[0].from != nil && view.Compare(w.edges[0].from, w.edges[1].from) == 0 && x.Digest() != y.Digest() && !w.unfit() {
 			return w, fmt.Sprintf("two edges hold generation %d of one tenure, and not the same", x.Generation())
 		}
 	}
@@ -173,7 +173,7 @@
 		fmt.Fprint(&b, keys)
 	}
 	for _, e := range w.edges {
-		fmt.Fprint(&b, e.v.Tenure(), e.v.Generation(), e.v.Items(), e.whole, e.following == nil, e.drained, "/")
+		fmt.Fprint(&b, e.v.Tenure(), e.v.Generation(), e.v.Items(), e.whole, e.from, e.following == nil, e.drained, "/")
 		if e.following != nil {
 			fmt.Fprint(&b, e.following.tenure)
 		}
