Tests that start hosts never start themselves again

Cause: the test of forecasts gave its host program one argument more than its own TestMain looked for, so that each host became a test run that started hosts. Change: a first argument edge or planner is always the program, never the tests.

--- a/internal/capacity/verify/verify_test.go
+++ b/internal/capacity/verify/verify_test.go
@@ -13,8 +13,8 @@
 
 // The test binary is the host program, too.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 4 && os.Args[1] == "edge" {
-		c := edge.Command{Config: os.Args[3], Bound: true}
+	if len(os.Args) > 1 && os.Args[1] == "edge" { // never the tests again, whatever stands behind it
+		c := edge.Command{Config: os.Args[len(os.Args)-1], Bound: true}
 		if err := c.Execute(edge.Start); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	d.Length = "5s"
-	o := drill.Options{Seed: 3, Host: []string{self, "edge", "--bound"}}
+	o := drill.Options{Seed: 3, Host: []string{self, "edge"}}
 	l, err := Record(context.Background(), d, o)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -21,17 +21,17 @@
 // The test binary is also the host program, so that hosts are processes here too. WRONG names the rule that such a
 // host breaks on purpose.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 4 && os.Args[1] == "planner" {
-		c := serve.Command{Config: os.Args[3], Bound: true}
+	if len(os.Args) > 1 && os.Args[1] == "planner" { // never the tests again, whatever stands behind it
+		c := serve.Command{Config: os.Args[len(os.Args)-1], Bound: true}
 		if err := c.Execute(edge.Logger); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
 		os.Exit(0)
 	}
-	if len(os.Args) == 4 && os.Args[1] == "edge" {
+	if len(os.Args) > 1 && os.Args[1] == "edge" {
 		wrong, _ := strconv.Atoi(os.Getenv("WRONG"))
-		c := edge.Command{Config: os.Args[3], Bound: true}
+		c := edge.Command{Config: os.Args[len(os.Args)-1], Bound: true}
 		start := edge.Start
 		if wrong > 0 {
 			start = func(h policy.Host, s policy.Settings) hostloop.Decider { return newWrong(wrong, h, s) }
--- a/internal/plan/serve/serve_test.go
+++ b/internal/plan/serve/serve_test.go
@@ -35,7 +35,7 @@
 
 // The test binary is a planner, too. DIE=n lets it be killed between its n-th write and what it would have sent of it.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 3 && os.Args[1] == "planner" {
+	if len(os.Args) > 2 && os.Args[1] == "planner" {
 		conf := &wpb.PlannerConf{}
 		if err := settings.Load(os.Args[2], conf); err != nil {
 			fmt.Fprintln(os.Stderr, err)
