Slow edges are tested; the planner's beliefs are looked up, not searched

Cause: the test of an edge that reads nothing, with 6,000 bricks, took 15 s: each line of a list went through all beliefs, sorted. Change: a lookup. Stall of a stream is an option.

--- a/internal/fleet/decide/decide.go
+++ b/internal/fleet/decide/decide.go
@@ -130,6 +130,14 @@
 	return all
 }
 
+// Belief is that of one brick; false: nothing is known of it.
+func (f *Fleet) Belief(name string) (Belief, bool) {
+	if b := f.bricks[name]; b != nil {
+		return *b, true
+	}
+	return Belief{}, false
+}
+
 // Restore takes back what was saved. Everything in it is as old as it says; what it says of drains holds.
 func (f *Fleet) Restore(saved []Belief, last Generation, now time.Duration) {
 	f.last = last
--- a/internal/plan/serve/serve.go
+++ b/internal/plan/serve/serve.go
@@ -38,8 +38,7 @@
 
 // Figures that are no one's choice yet.
 const (
-	partItems  = 512             // of a view, in one message
-	stall      = 5 * time.Second // an edge that takes nothing for so long is cut off
+	partItems  = 512 // of a view, in one message
 	mostItems  = 400000
 	tombstones = 4096
 	mostBytes  = 4 << 20
@@ -51,6 +50,8 @@
 	Ready func(address string)
 	// Keep wraps the store, so that tests can fail it or stop in the middle; nil: not.
 	Keep func(decide.Keeper) decide.Keeper
+	// Stall is how long an edge may take nothing before it is cut off; 0: 5 s.
+	Stall time.Duration
 }
 
 // Planner is one while it runs.
@@ -67,6 +68,7 @@
 	reports map[string][]*wpb.Item // the latest of each edge, for diff
 	lists   int                    // heard so far
 	lease   time.Duration
+	stall   time.Duration
 	stop    context.CancelFunc
 	wg      sync.WaitGroup // of streams: they end once their handler has returned
 }
@@ -87,8 +89,11 @@
 	if o.Log == nil {
 		o.Log = slog.Default()
 	}
+	if o.Stall == 0 {
+		o.Stall = 5 * time.Second
+	}
 	log := o.Log.With("planner", conf.Name)
-	p := &Planner{conf: conf, log: log, streams: map[string]*stream{}, reports: map[string][]*wpb.Item{}, lease: settings.Duration(conf.Lease, 3*time.Second)}
+	p := &Planner{conf: conf, log: log, streams: map[string]*stream{}, reports: map[string][]*wpb.Item{}, lease: settings.Duration(conf.Lease, 3*time.Second), stall: o.Stall}
 	var creds []grpc.ServerOption
 	switch {
 	case conf.Keys != nil:
@@ -145,7 +150,7 @@
 	inner, stop := context.WithCancel(ctx)
 	defer stop()
 	p.stop = stop
-	server := grpc.NewServer(append(creds, grpc.MaxRecvMsgSize(mostBytes), grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: stall}),
+	server := grpc.NewServer(append(creds, grpc.MaxRecvMsgSize(mostBytes), grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: o.Stall}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}))...)
 	wpb.RegisterPlanningServer(server, p)
 	var wg sync.WaitGroup
@@ -201,10 +206,8 @@
 
 func (w *wants) BrickIs(name, address, zone string, cell int, serving, gone bool, boot time.Duration) {
 	b := &wpb.PlanBrick{Address: address, Zone: zone, Cell: int64(cell), Serving: serving && !gone}
-	for _, x := range w.beliefs.Beliefs() {
-		if x.Name == name {
-			b.Started, b.Drained = int64(x.Started), int64(x.Drained)
-		}
+	if x, ok := w.beliefs.Belief(name); ok {
+		b.Started, b.Drained = int64(x.Started), int64(x.Drained)
 	}
 	w.state.Want(&wpb.Item{Kind: wpb.Item_BRICK, Name: name, Gone: gone, Brick: b})
 }
@@ -350,7 +353,7 @@
 	}()
 	send := func(m *wpb.PlannerSays) error {
 		m.Tenure = tenure
-		t := time.NewTimer(stall)
+		t := time.NewTimer(p.stall)
 		defer t.Stop()
 		select {
 		case out <- m:
@@ -360,7 +363,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
-			return status.Errorf(codes.DeadlineExceeded, "edge %s took nothing for %v", h.Name, stall)
+			return status.Errorf(codes.DeadlineExceeded, "edge %s took nothing for %v", h.Name, p.stall)
 		}
 	}
 	if ask {
--- a/internal/plan/serve/serve_test.go
+++ b/internal/plan/serve/serve_test.go
@@ -605,6 +605,49 @@
 	until(t, "a drain", func() bool { return view.Drained(e.heard(wpb.Item_BRICK, "b0").Brick) })
 }
 
+// An edge that reads nothing holds no other up, piles nothing up, and is cut off; when it reads again it is served.
+func TestSlowEdge(t *testing.T) {
+	p, address, _ := start(t, conf(t, "a", "127.0.0.1:0", 3, "at_once: 1"), Options{Stall: 500 * time.Millisecond})
+	e := follower(t, "e", filepath.Join(t.TempDir(), "e"), address)
+	follower(t, "f", filepath.Join(t.TempDir(), "f"), address) // a majority without the slow one, whatever it does
+	follower(t, "g", filepath.Join(t.TempDir(), "g"), address)
+	lines := make([]hostloop.BrickLine, 6000) // a view of hundreds of KB: more than a stream takes unread
+	for i := range lines {
+		lines[i] = brick(i, true)
+	}
+	list(p, 1, true, lines...)
+	until(t, "the view", func() bool { return e.holds(wpb.Item_BRICK, "b5999") != nil })
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithInitialWindowSize(1<<16))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	s, err := wpb.NewPlanningClient(conn).Follow(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Send(&wpb.EdgeSays{What: &wpb.EdgeSays_Hello{Hello: &wpb.EdgeHello{Version: Version, Name: "slow"}}})
+	s.Send(&wpb.EdgeSays{What: &wpb.EdgeSays_Report{Report: &wpb.EdgeReport{Last: true}}})
+	stands := func() (connected, known bool) {
+		told, err := p.Status(context.Background(), &wpb.StatusAsk{Edges: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range told.Edge {
+			if x.Name == "slow" {
+				return x.Connected, true
+			}
+		}
+		return false, false
+	}
+	until(t, "the slow edge comes", func() bool { c, _ := stands(); return c })
+	for n := range 5 { // it holds the one place at which views are sent; changes reach the other all the same, once it is cut off
+		list(p, int64(2+n), false, brick(30000+n, true))
+	}
+	until(t, "the slow edge is cut off", func() bool { c, known := stands(); return known && !c })
+	until(t, "the changes", func() bool { return e.holds(wpb.Item_BRICK, "b30004") != nil })
+}
+
 // Keys: both sides show theirs, names are checked, what is out of date or not trusted is refused with its reason, and changed files are
 // used without a restart.
 func TestKeys(t *testing.T) {
