--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -43,7 +43,11 @@
 	} `cmd:"" help:"What hosts believe of the fleet."`
 	Capacity capacityCmd `cmd:"" help:"What breaks first as the load grows, how many servers it takes, what a loss does."`
 	Capture  captureCmd  `cmd:"" help:"The load that hosts record."`
-	Standin  struct {
+	Plan     planCmd     `cmd:"" help:"The planner."`
+	Keys     struct {
+		Make keysMake `cmd:"" help:"Make keys and certificates, for tests and first installations."`
+	} `cmd:"" help:"Keys between the programs."`
+	Standin struct {
 		Brick  standinBrick  `cmd:"" help:"A stand-in for a brick."`
 		Lister standinLister `cmd:"" help:"A stand-in for the list service."`
 		Client standinClient `cmd:"" help:"A stand-in for clients."`
--- a/internal/plan/serve/serve.go
+++ b/internal/plan/serve/serve.go
@@ -66,6 +66,7 @@
 	beliefs *fleetdecide.Fleet
 	streams map[string]*stream
 	reports map[string][]*wpb.Item // the latest of each edge, for diff
+	told    map[string]int         // how many each edge has made
 	lists   int                    // heard so far
 	lease   time.Duration
 	stall   time.Duration
@@ -75,6 +76,7 @@
 
 type stream struct {
 	wake chan bool
+	ask  bool // an operator wants to know what it holds
 	name string
 	end  context.CancelFunc
 }
@@ -93,7 +95,7 @@
 		o.Stall = 5 * time.Second
 	}
 	log := o.Log.With("planner", conf.Name)
-	p := &Planner{conf: conf, log: log, streams: map[string]*stream{}, reports: map[string][]*wpb.Item{}, lease: settings.Duration(conf.Lease, 3*time.Second), stall: o.Stall}
+	p := &Planner{conf: conf, log: log, streams: map[string]*stream{}, reports: map[string][]*wpb.Item{}, told: map[string]int{}, lease: settings.Duration(conf.Lease, 3*time.Second), stall: o.Stall}
 	var creds []grpc.ServerOption
 	switch {
 	case conf.Keys != nil:
@@ -399,7 +401,8 @@
 				part = nil
 			}
 		}
-		generation := p.state.Generation()
+		generation, ask := p.state.Generation(), me.ask
+		me.ask = false
 		var news []*wpb.Item
 		if lists != p.lists && phase != decide.Outranked {
 			if lists = p.lists; phase != decide.Holding { // else it is written, and comes with the view
@@ -407,6 +410,11 @@
 			}
 		}
 		p.mu.Unlock()
+		if ask {
+			if err := send(&wpb.PlannerSays{What: &wpb.PlannerSays_Report{Report: &wpb.ReportAsk{}}}); err != nil {
+				return err
+			}
+		}
 		for piece := range slices.Chunk(news, partItems) {
 			if err := send(&wpb.PlannerSays{What: &wpb.PlannerSays_News{News: &wpb.PlannerNews{Item: piece}}}); err != nil {
 				return err
@@ -496,6 +504,7 @@
 				err = fmt.Errorf("a report of more than %d things", mostItems)
 			} else if err = p.state.Report(name, x.Report.Item, x.Report.Last, now()); err == nil && x.Report.Last {
 				p.reports[name], report = report, nil
+				p.told[name]++
 				p.heard(p.reports[name])
 				p.wake()
 			}
@@ -539,7 +548,10 @@
 }
 
 // Status tells an operator what it is doing.
-func (p *Planner) Status(_ context.Context, a *wpb.StatusAsk) (*wpb.StatusTold, error) {
+func (p *Planner) Status(ctx context.Context, a *wpb.StatusAsk) (*wpb.StatusTold, error) {
+	if a.Diff != "" {
+		p.refresh(ctx, a.Diff)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := &wpb.StatusTold{Tenure: p.state.Tenure(), Generation: p.state.Generation(), Phase: p.state.Phase().String(), Why: p.state.Why(now())}
@@ -559,6 +571,35 @@
 	return t, nil
 }
 
+// refresh asks an edge what it holds now. One that is away, or silent, is judged by what it said last.
+func (p *Planner) refresh(ctx context.Context, name string) {
+	p.mu.Lock()
+	s, before := p.streams[name], p.told[name]
+	if s != nil {
+		s.ask = true
+		select {
+		case s.wake <- true:
+		default:
+		}
+	}
+	p.mu.Unlock()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for end := time.Now().Add(2 * time.Second); s != nil && time.Now().Before(end); {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		p.mu.Lock()
+		now := p.told[name]
+		p.mu.Unlock()
+		if now > before {
+			return
+		}
+	}
+}
+
 // Digest is that of the view that edges should hold.
 func (p *Planner) Digest() uint64 {
 	p.mu.Lock()
--- a/internal/plan/serve/serve_test.go
+++ b/internal/plan/serve/serve_test.go
@@ -281,9 +281,15 @@
 	}
 	edges[0].stop() // and its place is still known
 	told, err := p.Status(ctx, &wpb.StatusAsk{View: true, Edges: true, Diff: "e2"})
-	if err != nil || told.Phase != "holding the lease" || len(told.Edge) != 3 {
+	if err != nil || told.Phase != "holding the lease" || len(told.Edge) != 3 || len(told.Difference) > 0 {
+		t.Error(told.GetPhase(), told.GetEdge(), told.GetDifference(), err)
+	}
+	if told, err = p.Status(ctx, &wpb.StatusAsk{Diff: "e0"}); err != nil || len(told.Difference) == 0 { // away since before it got the others' places
 		t.Error(told, err)
 	}
+	if _, err = p.Status(ctx, &wpb.StatusAsk{Diff: "nobody"}); status.Code(err) != codes.NotFound {
+		t.Error(err)
+	}
 }
 
 // The planner is killed between writing a change and sending it, again and again, and comes back from its disk: edges never go back, and
