--- a/internal/capacity/learn/learn.go
+++ b/internal/capacity/learn/learn.go
@@ -26,7 +26,7 @@
 const few, fewOutliers = 20, 8
 
 // Most dispatches of a brick that are looked at, the last ones: enough to be sure to a percent, and bounded however long the capture is.
-const mostOfBrick = 20000
+const mostOfBrick = 8000
 
 type sample struct {
 	at     time.Duration // its arrival
