--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,8 @@
 	Log *slog.Logger
 	// Start makes the module; nil: policy.New. Tests and baselines put something else here.
 	Start func(policy.Host, policy.Settings) hostloop.Decider
+	// Objects is called with the address of the object API, if there is one.
+	Objects func(address string)
 	// Ready is called with the address clients reach and the one peers reach.
 	Ready func(clients, peers string)
 }
@@ -116,10 +118,17 @@
 	if err := keep.open(core); err != nil {
 		return err
 	}
+	objects, err := e.openObjects(ctx)
+	if err != nil {
+		return err
+	}
 	inner, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
 	go e.loop.Run(inner, core)
 	e.planner.begin()
+	if objects != nil {
+		e.spawn(func() { objects.run(inner) })
+	}
 	if f := e.planner.follower; f != nil {
 		e.spawn(func() { f.Run(inner) })
 	}
@@ -140,11 +149,15 @@
 	if o.Ready != nil {
 		o.Ready(l.Addr().String(), e.peers.address())
 	}
+	if o.Objects != nil && objects != nil {
+		o.Objects(objects.listen.Addr().String())
+	}
 
 	select {
 	case <-ctx.Done():
 	case <-e.loop.Done():
 	}
+	objects.drain(e.longest())
 	e.stop(l)
 	counts := e.Counts()
 	stopKeeping()
@@ -164,11 +177,7 @@
 	e.stopping.Store(true)
 	l.Close()
 	e.log.Info("stopping: nothing new is taken", "held", e.Counts().Held)
-	longest := time.Duration(0)
-	for _, q := range e.conf.QueueType {
-		longest = max(longest, settings.Duration(q.CommandTimeout, 0))
-	}
-	until := time.After(longest + time.Second)
+	until := time.After(e.longest() + time.Second)
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
 	for e.Counts().Held > 0 || !e.quiet() {
@@ -181,6 +190,14 @@
 	}
 }
 
+// longest is the longest command timeout.
+func (e *Edge) longest() (d time.Duration) {
+	for _, q := range e.conf.QueueType {
+		d = max(d, settings.Duration(q.CommandTimeout, 0))
+	}
+	return d
+}
+
 // tellState logs what the host holds, now and then.
 func (e *Edge) tellState(ctx context.Context, every time.Duration) {
 	tick := time.NewTicker(every)
--- a/internal/plan/follow/follow.go
+++ b/internal/plan/follow/follow.go
@@ -385,6 +385,13 @@
 	return g.Cell, nil
 }
 
+// Get is one thing of the view; nil: it is not there.
+func (f *Follower) Get(k view.Key) *wpb.Item {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Get(k)
+}
+
 // State tells what is followed and held.
 func (f *Follower) State() (address string, tenure *wpb.Tenure, generation uint64, items []*wpb.Item) {
 	f.mu.Lock()
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -70,6 +70,16 @@
 			c.across(fmt.Sprintf("network[%d]", i), strconv.Quote(n), "not a network such as 127.0.0.0/8")
 		}
 	}
+	if o := e.Objects; o != nil {
+		for field, name := range map[string]string{"objects.read_type": o.ReadType, "objects.write_type": o.WriteType} {
+			i := slices.IndexFunc(e.QueueType, func(q *wpb.QueueType) bool { return q.Name == name })
+			if i < 0 {
+				c.across(field, strconv.Quote(name), "no queue type of that name")
+			} else if e.QueueType[i].Writes != (field == "objects.write_type") {
+				c.across(field, strconv.Quote(name), "allowed: a queue type that reads for read_type, one that writes for write_type")
+			}
+		}
+	}
 	if e.Planner != nil && e.Store == "" {
 		c.across("store", "", "missing; a planner's view is kept beside it")
 	}
