--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,210 @@
+package client_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"weirhaven/client"
+	"weirhaven/internal/hostloop"
+	"weirhaven/internal/object/api"
+	"weirhaven/internal/object/gate"
+	"weirhaven/internal/object/index"
+)
+
+// memory answers a gate's commands.
+type memory struct{ data sync.Map }
+
+func (m *memory) Cells(volume string) ([]uint32, bool) { return []uint32{0}, volume == "yard" }
+func (m *memory) Gone(*hostloop.Task)                  {}
+func (m *memory) Take(t *hostloop.Task) bool {
+	if t.QueueType == "put" {
+		m.data.Store(t.Object, bytes.Clone(t.Body))
+	}
+	b, _ := m.data.Load(t.Object)
+	body, _ := b.([]byte)
+	go t.Answer(hostloop.Answer{How: hostloop.Completed, Body: body})
+	return true
+}
+
+// host is an object API; before each request trouble may answer in its place.
+func host(dir string, trouble func(w http.ResponseWriter, r *http.Request) bool) (c *client.Client, stop func(), err error) {
+	x, err := index.Open(filepath.Join(dir, "index.db"))
+	if err != nil {
+		return nil, nil, err
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	file := filepath.Join(dir, "access")
+	if err := os.WriteFile(file, []byte("key a-long-secret yard\n"), 0o600); err != nil {
+		return nil, nil, err
+	}
+	keys, err := api.ReadKeys(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	h := api.Handler(api.Config{Keys: keys, Skew: time.Minute, Requests: 32, LeastPart: 1000, Log: log, Gate: gate.New(gate.Config{Commands: &memory{}, Index: x, ReadType: "get",
+		WriteType: "put", Extent: 4096, Unit: 4096, Window: 4, Log: log, Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if trouble == nil || !trouble(w, r) {
+			h.ServeHTTP(w, r)
+		}
+	}))
+	c, err = client.New(client.Config{Endpoint: s.URL, Key: "key", Secret: "a-long-secret"})
+	return c, func() { s.Close(); x.Close() }, err
+}
+
+func Example() {
+	dir, _ := os.MkdirTemp("", "weirhaven")
+	defer os.RemoveAll(dir)
+	c, stop, err := host(dir, nil) // a host; elsewhere: client.New(client.Config{Endpoint: ...})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer stop()
+	ctx := context.Background()
+	text := strings.NewReader("all quiet on the weir")
+	if _, err := c.Put(ctx, "yard", "log/today", text, text.Size(), client.PutOptions{ContentType: "text/plain"}); err != nil {
+		fmt.Println(err)
+		return
+	}
+	_, body, err := c.Get(ctx, "yard", "log/today", -4, 0)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer body.Close()
+	last, _ := io.ReadAll(body)
+	fmt.Printf("%s\n", last)
+	for o, err := range c.List(ctx, "yard", "log/", "/") {
+		fmt.Println(o.Name, o.Size, err)
+	}
+	_, err = c.Head(ctx, "yard", "log/yesterday")
+	fmt.Println(client.NotFound(err))
+	// Output:
+	// weir
+	// log/today 21 <nil>
+	// true
+}
+
+// Parts go up in parallel; some are busy-replied and come back no sooner than the host says, some connections end in the middle.
+func TestPartsThroughTrouble(t *testing.T) {
+	var asked, early atomic.Int64
+	var mu sync.Mutex
+	backAt := map[string]time.Time{}
+	c, stop, err := host(t.TempDir(), func(w http.ResponseWriter, r *http.Request) bool {
+		part := r.URL.Query().Get("partNumber")
+		if part == "" {
+			return false
+		}
+		n := asked.Add(1)
+		mu.Lock()
+		defer mu.Unlock()
+		if at, ok := backAt[part]; ok && time.Now().Before(at) {
+			early.Add(1)
+		}
+		switch n % 4 {
+		case 1:
+			backAt[part] = time.Now().Add(time.Second)
+			w.Header().Set("Retry-After", "1")
+			w.Header().Set("X-Weirhaven-May-Have-Run", "no")
+			w.WriteHeader(503)
+			return true
+		case 2:
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	body := make([]byte, 50000)
+	rand.New(rand.NewSource(1)).Read(body)
+	most := int64(0)
+	ctx := context.Background()
+	etag, err := c.Put(ctx, "yard", "a b/ü", bytes.NewReader(body), int64(len(body)), client.PutOptions{Part: 8000, Parallel: 3, Meta: map[string]string{"from": "crane 4"},
+		Progress: func(done int64) { most = max(most, done) }})
+	if err != nil || !strings.HasSuffix(etag, "-7") || most != 50000 || early.Load() > 0 {
+		t.Fatal(etag, err, most, early.Load())
+	}
+	i, in, err := c.Get(ctx, "yard", "a b/ü", 0, 0)
+	if err != nil || i.Meta["from"] != "crane 4" || i.Size != 50000 {
+		t.Fatal(err, i)
+	}
+	got, err := io.ReadAll(in)
+	in.Close()
+	if err != nil || !bytes.Equal(got, body) {
+		t.Error(err, len(got))
+	}
+	if _, in, err = c.Get(ctx, "yard", "a b/ü", 7990, 20); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := io.ReadAll(in); !bytes.Equal(got, body[7990:8010]) {
+		t.Errorf("%q", got)
+	}
+	var e *client.Error
+	if _, err := c.Put(ctx, "yard", "a b/ü", bytes.NewReader(body), 10, client.PutOptions{OnlyNew: true}); !errors.As(err, &e) || e.Code != "PreconditionFailed" {
+		t.Error(err)
+	}
+	if err := c.Delete(ctx, "yard", "a b/ü"); err != nil {
+		t.Error(err)
+	}
+	if _, _, err := c.Get(ctx, "yard", "a b/ü", 0, 0); !client.NotFound(err) {
+		t.Error(err)
+	}
+}
+
+// What may have run is not run twice where that would matter: the end of an upload and a put that must be the first.
+func TestNothingTwice(t *testing.T) {
+	var ends, puts, plain atomic.Int64
+	c, stop, err := host(t.TempDir(), func(w http.ResponseWriter, r *http.Request) bool {
+		switch {
+		case r.Method == "POST" && r.URL.Query().Has("uploadId"):
+			ends.Add(1)
+		case r.Method == "PUT" && r.Header.Get("If-None-Match") != "":
+			puts.Add(1)
+		case r.Method == "PUT" && !r.URL.Query().Has("partNumber"):
+			if plain.Add(1) > 1 {
+				return false
+			}
+		default:
+			return false
+		}
+		w.Header().Set("X-Weirhaven-May-Have-Run", "yes")
+		w.WriteHeader(500)
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	ctx := context.Background()
+	body := bytes.NewReader(make([]byte, 5000))
+	var e *client.Error
+	if _, err := c.Put(ctx, "yard", "a", body, 5000, client.PutOptions{Part: 2000}); !errors.As(err, &e) || !e.MayHaveRun || ends.Load() != 1 {
+		t.Error(err, ends.Load())
+	}
+	if _, err := c.Put(ctx, "yard", "b", body, 5000, client.PutOptions{OnlyNew: true}); !errors.As(err, &e) || !e.MayHaveRun || puts.Load() != 1 {
+		t.Error(err, puts.Load())
+	}
+	if _, err := c.Put(ctx, "yard", "c", body, 5000, client.PutOptions{}); err != nil || plain.Load() != 2 {
+		t.Error(err, plain.Load())
+	}
+	if _, err := client.New(client.Config{Endpoint: "nonsense"}); err == nil {
+		t.Error("an endpoint that is none")
+	}
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -43,6 +43,7 @@
 	} `cmd:"" help:"What hosts believe of the fleet."`
 	Capacity capacityCmd `cmd:"" help:"What breaks first as the load grows, how many servers it takes, what a loss does."`
 	Capture  captureCmd  `cmd:"" help:"The load that hosts record."`
+	Object   objectCmd   `cmd:"" help:"Objects, over a host's object API."`
 	Plan     planCmd     `cmd:"" help:"The planner."`
 	Keys     struct {
 		Make keysMake `cmd:"" help:"Make keys and certificates, for tests and first installations."`
--- /dev/null
+++ b/internal/edge/objects_test.go
@@ -0,0 +1,253 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+
+	"weirhaven/internal/lineproto"
+	"weirhaven/internal/settings"
+	"weirhaven/internal/standin/brick"
+	"weirhaven/internal/wpb"
+)
+
+const objectConf = `name: "h" listen: "127.0.0.1:0" hosts: 1
+fleet { max_dispatches: 3 resolution: "10ms" usual_units: 4 most_units: 64 cancel: true max_pause: "1s" }
+queue_type { name: "get" service_target: "500ms" command_timeout: "5s" importance: 1 }
+queue_type { name: "put" service_target: "500ms" command_timeout: "5s" importance: 1 semantics: TAGGED group: CELL tag_window: "10s" writes: true }
+plan { name: "plain" nominal: 100000 weight: 1 }
+volume { name: "yard" plan: "plain" hosts: 1 }
+`
+
+// standins are bricks that store what is written.
+func standins(t testing.TB, n int) (text string, all []*brick.Brick) {
+	t.Helper()
+	for i := range n {
+		b, err := brick.Start(brick.Config{Name: fmt.Sprint("b", i), Zone: "n", Address: "127.0.0.1:0", Cell: i, Speed: 1, Seed: int64(i), TagWindow: 10 * time.Second,
+			Kind: &wpb.BrickKind{Name: "k", UnitWork: "20us", Queue: 10000}, Writes: map[string]bool{"put": true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Stop)
+		text += fmt.Sprintf("brick { name: %q address: %q cell: %d }\n", b.Name(), b.Address(), i)
+		all = append(all, b)
+	}
+	return text, all
+}
+
+func objectHost(t testing.TB, text string) (url string, stop func()) {
+	t.Helper()
+	e, err := settings.ParseEdge("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ready, done := make(chan string, 1), make(chan error, 1)
+	go func() {
+		done <- Run(ctx, e, Options{Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Objects: func(a string) { ready <- a }})
+	}()
+	var once sync.Once
+	stop = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	t.Cleanup(stop)
+	select {
+	case a := <-ready:
+		return "http://" + a, stop
+	case err := <-done:
+		t.Fatal(err)
+		return "", nil
+	}
+}
+
+func s3Client(url, key, secret string) *s3.Client {
+	return s3.New(s3.Options{BaseEndpoint: aws.String(url), UsePathStyle: true, Region: "here", Credentials: credentials.NewStaticCredentialsProvider(key, secret, "")})
+}
+
+// put retries as the client does; a host that has just started may know no brick for a moment.
+func putObject(t testing.TB, c *s3.Client, name string, body []byte) {
+	t.Helper()
+	var err error
+	for range 20 {
+		if _, err = c.PutObject(context.Background(), &s3.PutObjectInput{Bucket: aws.String("yard"), Key: aws.String(name), Body: bytes.NewReader(body)}); err == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal(err)
+}
+
+// From a real client over HTTP through the host's choices to the bricks and back; the host is restarted in between.
+func TestObjectsEndToEnd(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "access"), []byte("# yard programs\nyardkey a-secret-of-some-length yard\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	bricks, _ := standins(t, 3)
+	text := objectConf + bricks + fmt.Sprintf("objects { listen: \"127.0.0.1:0\" index: %q access: %q read_type: \"get\" write_type: \"put\" extent: 65536 }\n",
+		filepath.Join(dir, "index.db"), filepath.Join(dir, "access"))
+	url, stop := objectHost(t, text)
+	c := s3Client(url, "yardkey", "a-secret-of-some-length")
+	body := make([]byte, 1<<20+12345)
+	rand.New(rand.NewSource(1)).Read(body)
+	putObject(t, c, "big one", body)
+	check := func(c *s3.Client) {
+		t.Helper()
+		o, err := c.GetObject(context.Background(), &s3.GetObjectInput{Bucket: aws.String("yard"), Key: aws.String("big one")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(o.Body)
+		o.Body.Close()
+		if err != nil || !bytes.Equal(got, body) {
+			t.Fatalf("%v, %d bytes of %d", err, len(got), len(body))
+		}
+		o, err = c.GetObject(context.Background(), &s3.GetObjectInput{Bucket: aws.String("yard"), Key: aws.String("big one"), Range: aws.String("bytes=65000-200000")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err = io.ReadAll(o.Body)
+		o.Body.Close()
+		if err != nil || !bytes.Equal(got, body[65000:200001]) {
+			t.Fatal(err)
+		}
+	}
+	check(c)
+	stop()
+	url, _ = objectHost(t, text)
+	time.Sleep(300 * time.Millisecond)
+	check(s3Client(url, "yardkey", "a-secret-of-some-length"))
+	for _, bad := range []string{"access: \"none\"", "read_type: \"put\"", "extent: 16000000", "listen: \"0.0.0.0:0\""} {
+		e, err := settings.ParseEdge("test", []byte(objectConf+"objects { index: \"x\" "+map[bool]string{true: "", false: `listen: "127.0.0.1:0" `}[bad[0] == 'l']+
+			map[bool]string{true: "", false: `read_type: "get" `}[bad[0] == 'r']+`write_type: "put" `+bad+" }"))
+		if err == nil {
+			e.Objects.Index = filepath.Join(dir, "other.db")
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			err = Run(ctx, e, Options{Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+			cancel()
+		}
+		if err == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+}
+
+// zeros is a body that is made as it is read.
+type zeros struct{ left int64 }
+
+func (z *zeros) Read(b []byte) (int, error) {
+	if z.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(int64(len(b)), z.left)
+	clear(b[:n])
+	z.left -= n
+	return int(n), nil
+}
+
+// sink is a brick that stores nothing and answers at once; memory that grows is then the host's own.
+func sink(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				serveSink(nc)
+			}()
+		}
+	}()
+	return fmt.Sprintf("brick { name: \"sink\" address: %q cell: 0 }\n", l.Addr())
+}
+
+// A part far larger than the host's memory for it passes: what it holds is a window of extents. PART: bytes.
+func BenchmarkLargePart(b *testing.B) {
+	size := int64(256 << 20)
+	fmt.Sscan(os.Getenv("PART"), &size)
+	url, _ := objectHost(b, objectConf+sink(b)+fmt.Sprintf("objects { listen: \"127.0.0.1:0\" index: %q read_type: \"get\" write_type: \"put\" }\n", filepath.Join(b.TempDir(), "i.db")))
+	time.Sleep(1200 * time.Millisecond)
+	for b.Loop() {
+		var most, before runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		stop, done := make(chan bool), make(chan bool)
+		peak := uint64(0)
+		go func() {
+			defer close(done)
+			tick := time.NewTicker(20 * time.Millisecond)
+			defer tick.Stop()
+			for {
+				select {
+				case <-tick.C:
+					runtime.ReadMemStats(&most)
+					peak = max(peak, most.HeapInuse)
+				case <-stop:
+					return
+				}
+			}
+		}()
+		start := time.Now()
+		r, err := http.NewRequest("PUT", url+"/yard/large", &zeros{size})
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.ContentLength = size
+		a, err := http.DefaultClient.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.Copy(io.Discard, a.Body)
+		a.Body.Close()
+		if a.StatusCode != 200 {
+			b.Fatal(a.Status)
+		}
+		close(stop)
+		<-done
+		b.ReportMetric(float64(size)/time.Since(start).Seconds()/(1<<20), "MiB/s")
+		b.ReportMetric(float64(peak-min(peak, before.HeapInuse))/(1<<20), "peak-MiB")
+	}
+}
+
+func serveSink(nc net.Conn) {
+	r := lineproto.NewReader(nc, 1<<20)
+	if _, err := lineproto.Greet(nc, r, "brick", "sink", 5*time.Second, nil); err != nil {
+		return
+	}
+	for {
+		m, err := r.Read()
+		if err != nil {
+			return
+		}
+		var o lineproto.Out
+		if _, err := nc.Write(o.Start(lineproto.Done, m.ID).End(nil).B); err != nil {
+			return
+		}
+	}
+}
