--- a/internal/object/api/api.go
+++ b/internal/object/api/api.go
@@ -281,6 +281,7 @@
 }
 
 func (c *call) get() error {
+	defer c.c.Gate.Reading()()
 	o, err := c.c.Gate.Index().Get(c.volume, c.name)
 	if err != nil {
 		return err
--- a/internal/object/api/api_test.go
+++ b/internal/object/api/api_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/md5"
@@ -10,6 +11,7 @@
 	"io"
 	"log/slog"
 	"math/rand"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -601,3 +603,177 @@
 		t.Errorf("%d extents have bytes", w.b.held())
 	}
 }
+
+// A read goes on with what it began with, though the object is replaced and swept meanwhile: old or new whole, never mixed.
+func TestReadWhileReplaced(t *testing.T) {
+	w := start(t)
+	old, new := random(20<<10, 1), random(20<<10, 2)
+	w.put(t, "a", old)
+	began, goOn := make(chan bool), make(chan bool)
+	n := 0
+	w.b.failing(func(task *hostloop.Task) *hostloop.Answer {
+		if task.QueueType == "read" {
+			if n++; n == 6 { // in the middle
+				close(began)
+				w.b.mu.Unlock()
+				<-goOn
+				w.b.mu.Lock()
+			}
+		}
+		return nil
+	})
+	got := make(chan []byte, 1)
+	go func() {
+		b, _, err := w.get("a", "")
+		if err != nil {
+			t.Error(err)
+		}
+		got <- b
+	}()
+	<-began
+	w.put(t, "a", new)
+	if n, _, err := w.g.Sweep(ctx); err != nil || n != 0 {
+		t.Error("what is being read was swept", n, err)
+	}
+	close(goOn)
+	if b := <-got; !bytes.Equal(b, old) {
+		t.Errorf("%d bytes, the old object's: %v", len(b), bytes.Equal(b, old))
+	}
+	if b, _, err := w.get("a", ""); err != nil || !bytes.Equal(b, new) {
+		t.Error(err)
+	}
+	if n, left, err := w.g.Sweep(ctx); err != nil || n != 20 || left != 0 {
+		t.Error(n, left, err)
+	}
+}
+
+// One part number at once with different bytes: each is answered with its own tag, one of them stands, whole.
+func TestSamePartAtOnce(t *testing.T) {
+	w := start(t)
+	u, err := w.s3.CreateMultipartUpload(ctx, &s3.CreateMultipartUploadInput{Bucket: aws.String("yard"), Key: aws.String("a")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	tags := make([]string, 8)
+	for i := range tags {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			o, err := w.s3.UploadPart(ctx, &s3.UploadPartInput{Bucket: aws.String("yard"), Key: aws.String("a"), UploadId: u.UploadId, PartNumber: aws.Int32(1),
+				Body: bytes.NewReader(random(5000, int64(i)))})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			tags[i] = *o.ETag
+		}()
+	}
+	wg.Wait()
+	stood := -1
+	for i, tag := range tags {
+		_, err := w.s3.CompleteMultipartUpload(ctx, &s3.CompleteMultipartUploadInput{Bucket: aws.String("yard"), Key: aws.String("a"), UploadId: u.UploadId,
+			MultipartUpload: &types.CompletedMultipartUpload{Parts: []types.CompletedPart{{PartNumber: aws.Int32(1), ETag: aws.String(tag)}}}})
+		switch {
+		case err == nil:
+			stood = i
+		case code(err) != "InvalidPart" && code(err) != "NoSuchUpload": // replaced, or over
+			t.Error(err)
+		}
+	}
+	if stood < 0 {
+		t.Fatal("none stands")
+	}
+	if b, _, err := w.get("a", ""); err != nil || !bytes.Equal(b, random(5000, int64(stood))) {
+		t.Error(err)
+	}
+	for {
+		n, _, err := w.g.Sweep(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n == 0 {
+			break
+		}
+	}
+	if w.b.held() != 5 {
+		t.Errorf("%d extents have bytes", w.b.held())
+	}
+}
+
+// Names with odd bytes come back as they went.
+func TestOddNames(t *testing.T) {
+	w := start(t)
+	var all []string
+	for r := rune(1); r < 0x180; r++ {
+		all = append(all, "n"+string(r)+"/"+string(r)+"x")
+	}
+	all = append(all, "../up", "a//b", "sp ace", "pl+us", "per%cent", "q?x=y", "h#ash", "日本", "🙂")
+	for _, name := range all {
+		w.put(t, name, []byte(name))
+		if b, _, err := w.get(name, ""); err != nil || string(b) != name {
+			t.Errorf("%q: %v, %q", name, err, b)
+		}
+	}
+}
+
+// A length that lies: fewer bytes than announced are no object; a length that can't be is refused.
+func TestLyingLength(t *testing.T) {
+	w := start(t)
+	s := httptest.NewServer(Handler(Config{Gate: w.g, Requests: 4, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}))
+	for _, head := range []string{"Content-Length: 5000\r\n", "Content-Length: -1\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n", "Transfer-Encoding: chunked\r\n"} {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "PUT /yard/lie HTTP/1.1\r\nHost: x\r\n%s\r\n%s", head, "bytes that are too few")
+		c.(*net.TCPConn).CloseWrite()
+		answer, _ := io.ReadAll(c)
+		if bytes.Contains(answer, []byte(" 200 ")) {
+			t.Errorf("%q: %s", head, answer)
+		}
+		c.Close()
+	}
+	s.Close()
+	if _, _, err := w.get("lie", ""); code(err) != "NoSuchKey" {
+		t.Error(err)
+	}
+}
+
+func FuzzSignature(f *testing.F) {
+	f.Add("AWS4-HMAC-SHA256 Credential=k/20260301/here/s3/aws4_request, SignedHeaders=host;x-amz-date;x-amz-content-sha256, Signature="+strings.Repeat("0", 64), "20260301T120000Z", "/a")
+	keys := Keys{"k": {"secret", []string{"*"}}}
+	f.Fuzz(func(t *testing.T, auth, date, path string) {
+		r, err := http.NewRequest("GET", "http://h/", nil)
+		if err != nil {
+			return
+		}
+		r.URL.Path = "/" + path
+		r.Header.Set("Authorization", auth)
+		r.Header.Set("X-Amz-Date", date)
+		r.Header.Set("X-Amz-Content-Sha256", unsigned)
+		if a, _, fault := keys.check(r, time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), time.Minute); a != nil || fault == nil {
+			t.Fatalf("%q let in", auth)
+		}
+	})
+}
+
+func FuzzChunked(f *testing.F) {
+	f.Add([]byte("5\r\nhello\r\n0\r\nx-amz-checksum-crc32:NhCmhg==\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		out, _ := io.ReadAll(&chunked{in: bufio.NewReaderSize(bytes.NewReader(b), 64)})
+		if len(out) > len(b) {
+			t.Fatal("more came out than went in")
+		}
+	})
+}
+
+func TestChunked(t *testing.T) {
+	for in, want := range map[string]string{"5\r\nhello\r\n0\r\nx-amz-checksum-crc32:NhCmhg==\r\n\r\n": "hello <nil>", "3;x=y\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n": "hello <nil>",
+		"5\r\nhello\r\n0\r\nx-amz-checksum-crc32:AAAAAA==\r\n\r\n": "hello BadDigest", "5\r\nhel": "hel unexpected EOF", "x\r\nhel": " IncompleteBody"} {
+		b, err := io.ReadAll(&chunked{in: bufio.NewReaderSize(strings.NewReader(in), 64)})
+		if got := fmt.Sprint(string(b), " ", err); !strings.HasPrefix(got, want) {
+			t.Errorf("%q: %s, want %s", in, got, want)
+		}
+	}
+}
--- a/internal/object/decide/decide_test.go
+++ b/internal/object/decide/decide_test.go
@@ -169,14 +169,14 @@
 	}
 }
 
-// The sweep takes what nothing holds and no writer can be at, never what is held.
+// The sweep takes what nothing holds and no writer can be at, never what is held or may be read.
 func TestSweep(t *testing.T) {
 	loose := func(id string, since int64, doomed bool) *wpb.LooseRecord {
 		return &wpb.LooseRecord{Extent: &wpb.ExtentRecord{Id: id}, Since: since, Doomed: doomed}
 	}
 	var got []string
-	for _, l := range Sweep([]*wpb.LooseRecord{loose("young", 95, false), loose("old", 10, false), loose("doomed", 99, true), loose("held", 1, true)},
-		func(id string) bool { return id == "held" }, 100, 50) {
+	for _, l := range Sweep([]*wpb.LooseRecord{loose("young", 95, false), loose("old", 10, false), loose("doomed", 90, true), loose("read", 99, true), loose("held", 1, true)},
+		func(id string) bool { return id == "held" }, 100, 50, 95) {
 		got = append(got, l.Extent.Id)
 	}
 	if !slices.Equal(got, []string{"old", "doomed"}) {
--- a/internal/object/decide/layout.go
+++ b/internal/object/decide/layout.go
@@ -157,11 +157,12 @@
 	return extents, rest, size, fmt.Sprintf("%s-%d", hex.EncodeToString(sum.Sum(nil)), len(named)), nil
 }
 
-// Sweep tells which loose extents may be removed: those that were an object's or given up, at once; those whose writer may still be
-// at it, once they are older than any writer lives. None that an object or an upload's part holds.
-func Sweep(loose []*wpb.LooseRecord, held func(id string) bool, now, age time.Duration) (remove []*wpb.LooseRecord) {
+// Sweep tells which loose extents may be removed: those that were an object's or given up, unless a reader that began before that may
+// still be at them (reader: when the oldest one began); those whose writer may still be at it, once they are older than any writer
+// lives. None that an object or an upload's part holds.
+func Sweep(loose []*wpb.LooseRecord, held func(id string) bool, now, age, reader time.Duration) (remove []*wpb.LooseRecord) {
 	for _, l := range loose {
-		if !held(l.Extent.Id) && (l.Doomed || now-time.Duration(l.Since) >= age) {
+		if since := time.Duration(l.Since); !held(l.Extent.Id) && (l.Doomed && since < reader || !l.Doomed && now-since >= age) {
 			remove = append(remove, l)
 		}
 	}
--- a/internal/object/gate/gate.go
+++ b/internal/object/gate/gate.go
@@ -45,10 +45,40 @@
 }
 
 // Gate is one while the host runs.
-type Gate struct{ c Config }
+type Gate struct {
+	c       Config
+	mu      sync.Mutex
+	readers map[*reader]bool
+}
+
+type reader struct{ since time.Duration }
 
 // New makes one.
-func New(c Config) *Gate { return &Gate{c} }
+func New(c Config) *Gate { return &Gate{c: c, readers: map[*reader]bool{}} }
+
+// Reading keeps what an object is made of from being swept until done is called, though it be replaced meanwhile: call it before the
+// object is looked up.
+func (g *Gate) Reading() (done func()) {
+	r := &reader{g.c.Now()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.readers[r] = true
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.readers, r)
+	}
+}
+
+// oldest is when the oldest reader began; now, where there is none.
+func (g *Gate) oldest(now time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for r := range g.readers {
+		now = min(now, r.since)
+	}
+	return now
+}
 
 // Index is what it keeps.
 func (g *Gate) Index() *index.Index { return g.c.Index }
@@ -311,7 +341,7 @@
 		}
 	}
 	const batch = 256
-	loose, all, err := g.c.Index.Sweepable(g.c.LooseAge, now, batch)
+	loose, all, err := g.c.Index.Sweepable(g.c.LooseAge, now, g.oldest(g.c.Now()+1), batch)
 	if err != nil {
 		return 0, all, err
 	}
--- a/internal/object/index/index.go
+++ b/internal/object/index/index.go
@@ -410,8 +410,8 @@
 	return old, err
 }
 
-// Sweepable are the loose extents that may be removed, at most so many; loose tells how many there are in all.
-func (x *Index) Sweepable(age, now time.Duration, most int) (remove []*wpb.LooseRecord, all int, err error) {
+// Sweepable are the loose extents that may be removed, at most so many, while the oldest reader began at a time; loose tells how many there are in all.
+func (x *Index) Sweepable(age, now, reader time.Duration, most int) (remove []*wpb.LooseRecord, all int, err error) {
 	err = x.db.View(func(tx *bbolt.Tx) error {
 		var found []*wpb.LooseRecord
 		err := tx.Bucket(loose).ForEach(func(k, v []byte) error {
@@ -423,7 +423,7 @@
 			return nil
 		})
 		all = len(found)
-		remove = decide.Sweep(found, func(id string) bool { return tx.Bucket(held).Get([]byte(id)) != nil }, now, age)
+		remove = decide.Sweep(found, func(id string) bool { return tx.Bucket(held).Get([]byte(id)) != nil }, now, age, reader)
 		remove = remove[:min(len(remove), most)]
 		return err
 	})
--- a/internal/object/index/index_test.go
+++ b/internal/object/index/index_test.go
@@ -91,7 +91,7 @@
 			}
 		}
 	}
-	remove, _, err := x.Sweepable(0, 1<<60, 1<<30)
+	remove, _, err := x.Sweepable(0, 1<<60, 1<<61, 1<<30)
 	if err != nil {
 		t.Fatalf("%v", err)
 	}
@@ -223,6 +223,39 @@
 	})
 }
 
+// Ten thousand parts make one object; a thousand uploads that are never ended age out.
+func TestManyParts(t *testing.T) {
+	x := open(t, filepath.Join(t.TempDir(), "i"))
+	x.db.NoSync = true
+	x.Begin(&wpb.UploadRecord{Volume: "v", Name: "n", Id: "u"})
+	var named []decide.Named
+	err := x.db.Update(func(tx *bbolt.Tx) error { // as PutPart does, ten thousand times
+		for n := uint32(1); n <= decide.MostParts; n++ {
+			p := &wpb.PartRecord{Number: n, Etag: "00", Size: 1, Extent: extents(fmt.Sprint("p", n), 1)}
+			named = append(named, decide.Named{Number: n, ETag: "00"})
+			if err := errors.Join(hold(tx, p.Extent), put(tx.Bucket(parts), partKey("u", n), p)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := x.Complete("v", "n", "u", named, 1, nil, 5)
+	if err != nil || o.Size != decide.MostParts || len(o.Extent) != decide.MostParts || o.Extent[9999].Id != "p10000/0" {
+		t.Fatal(err)
+	}
+	for i := range 1000 {
+		x.Begin(&wpb.UploadRecord{Volume: "v", Name: fmt.Sprint("left", i), Id: fmt.Sprint("left", i), Begun: int64(i)})
+	}
+	old, err := x.Aged(100, 1050)
+	if err != nil || len(old) != 951 {
+		t.Errorf("%v: %d of 1000 are old", err, len(old))
+	}
+	consistent(t, x, "v")
+}
+
 func TestListPages(t *testing.T) {
 	x := open(t, filepath.Join(t.TempDir(), "i"))
 	x.db.NoSync = true
