--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -231,7 +231,7 @@
 		if err != nil {
 			return nil, err
 		}
-		arms = append(arms, arm{Name: name, Result: r, Kept: r.Verdict.Kept() && len(r.Exits) == 0, Verdict: r.Verdict, Exits: r.Exits})
+		arms = append(arms, arm{Name: name, Result: r, Kept: r.Verdict.Kept() && len(r.Exits) == 0 && r.Objects.Good(), Verdict: r.Verdict, Exits: r.Exits})
 		if c.Record != "" {
 			dir := c.Record
 			if c.Seeds > 1 || i > 0 {
@@ -276,6 +276,9 @@
 			fmt.Printf("%s: planner killed %d times, of these %d onto an older disk or none, stalled %d times\n", a.Name, a.Result.Planner.Kills, a.Result.Planner.Old,
 				a.Result.Planner.Stalls)
 		}
+		if o := a.Result.Objects; o.Requests() > 0 {
+			fmt.Printf("%s: objects: %v\n", a.Name, o)
+		}
 		if a.Name == "calm" {
 			fmt.Printf("service: %.3f of that with the planner left in peace\n", arms[0].Verdict.Whole().Part()/a.Verdict.Whole().Part())
 		}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -87,6 +87,7 @@
 	Verdict *audit.Verdict
 	Exits   []string // of hosts told to stop that did not end well
 	Planner PlannerTroubles
+	Objects ObjectCounts
 }
 
 // PlannerTroubles counts what a planner went through.
@@ -102,6 +103,7 @@
 	err         error
 	address     string
 	peers       string
+	objects     string // address of its object API
 	killed      bool
 }
 
@@ -118,6 +120,8 @@
 	load  *client.Load
 	meter *brick.Meter
 	tags  map[string]*brick.Tags
+	data  map[int]*brick.Data // by cell: what replaces a brick holds what it held
+	works *objectWorks        // nil: none
 
 	mu     sync.Mutex
 	bricks []*brick.Brick // by cell; the one there now
@@ -144,7 +148,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	r := &runner{d: d, o: o, rng: rand.New(rand.NewSource(o.Seed)), rec: record.New(), dir: dir, tags: map[string]*brick.Tags{}}
+	r := &runner{d: d, o: o, rng: rand.New(rand.NewSource(o.Seed)), rec: record.New(), dir: dir, tags: map[string]*brick.Tags{}, data: map[int]*brick.Data{}}
 	if o.Capture != "" { // one key for all hosts, gone with the run
 		if err := os.WriteFile(filepath.Join(dir, "key"), fmt.Appendf(nil, "capture key of drill seed %d", o.Seed), 0o600); err != nil {
 			return nil, err
@@ -159,7 +163,7 @@
 	h := &wpb.Header{Seed: o.Seed, Drill: d.Name, Fleet: d.Fleet, QueueType: d.QueueType, Plan: d.Plan, Hosts: d.Hosts,
 		Blur: int64(o.Blur), Arm: o.Arm}
 	seen := r.rec.All()
-	return &Result{Header: h, Seen: seen, Verdict: audit.Judge(h, seen), Exits: r.exits, Planner: r.plan.went()}, nil
+	return &Result{Header: h, Seen: seen, Verdict: audit.Judge(h, seen), Exits: r.exits, Planner: r.plan.went(), Objects: r.works.counts()}, nil
 }
 
 var runs atomic.Int64
@@ -216,9 +220,13 @@
 			r.play(script, t, start, rand.New(rand.NewSource(seed)))
 		}()
 	}
+	if r.d.Objects != nil {
+		r.works = r.startObjects(ctx)
+	}
 	r.load.Run(ctx, settings.Duration(r.d.Length, 0))
 	stop()
 	r.wg.Wait()
+	r.works.finish(ctx)
 	for _, p := range r.hosts {
 		r.stopHost(p)
 	}
@@ -342,6 +350,12 @@
 		r.tags[group] = brick.NewTags()
 	}
 	c.Tags = r.tags[group]
+	if r.d.Objects != nil {
+		if r.data[cell] == nil {
+			r.data[cell] = brick.NewData()
+		}
+		c.Data = r.data[cell]
+	}
 	b, err := brick.Start(c)
 	if err != nil {
 		return nil, err
@@ -400,6 +414,11 @@
 	for i := range int(r.d.Hosts) {
 		r.hosts = append(r.hosts, &hostProcess{no: i, address: r.ip + ":0", peers: peers[i]})
 	}
+	if r.d.Objects != nil {
+		if err := r.objectPorts(); err != nil {
+			return err
+		}
+	}
 	if r.d.GetList().GetAbsent() {
 		if err := r.keepLists(); err != nil {
 			return err
@@ -426,6 +445,10 @@
 	if r.d.GetList().GetAbsent() || r.d.Planner {
 		e.ListService = ""
 	}
+	if o := r.d.Objects; o != nil {
+		e.Objects = &wpb.ObjectApi{Listen: p.objects, Index: filepath.Join(r.dir, fmt.Sprintf("objects-%d.db", p.no)), ReadType: o.ReadType, WriteType: o.WriteType,
+			Extent: o.Extent, Unit: o.Unit, LooseAge: "2s"}
+	}
 	if r.d.Planner {
 		e.Planner = &wpb.Planner{Address: []string{r.plan.address}, Plain: true}
 	}
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -217,6 +217,42 @@
 	}
 }
 
+// Objects over HTTP while hosts are killed, a brick is replaced and answers are lost: no byte is wrong, none that was answered is lost.
+func TestObjectDay(t *testing.T) {
+	t.Parallel()
+	d, err := Load("object-day")
+	if err != nil {
+		t.Fatal(err)
+	}
+	extra := &wpb.Drill{}
+	settings.Parse("troubles", []byte(`
+		trouble { kind: ANSWER_LOST at: "500ms" length: "1s" size: 0.1 part: 0.4 }
+		trouble { kind: HOST_CRASH at: "1s" on: 1 back: "300ms" }
+		trouble { kind: PREEMPT at: "2s" length: "400ms" on: 2 back: "300ms" }
+		trouble { kind: HOST_CRASH at: "3s" on: 0 back: "300ms" }`), extra)
+	d.Length, d.Trouble = "5s", extra.Trouble
+	r := play(t, d, Options{Seed: 3, Host: []string{os.Args[0], "edge"}})
+	complain(t, r)
+	if o := r.Objects; !o.Good() || o.Checked != 54 || o.Puts < 100 || o.Failed > o.Requests()/10 {
+		t.Error(o)
+	}
+	// The judge itself: other bytes, bytes of two objects, and a name that is gone are told.
+	w := &objectWorks{}
+	a, b := &content{1, 1000}, &content{2, 1000}
+	n := &named{may: []*content{a, b}}
+	w.judge(n, a.bytes(), true, 0, 0)
+	w.judge(n, b.bytes()[10:30], true, 10, 20)
+	if w.sum.Wrong+w.sum.Lost != 0 {
+		t.Error(w.sum)
+	}
+	w.judge(n, append(a.bytes()[:500], b.bytes()[500:]...), true, 0, 0)
+	w.judge(n, a.bytes()[:999], true, 0, 0)
+	w.judge(n, nil, false, 0, 0)
+	if w.sum.Wrong != 2 || w.sum.Lost != 1 {
+		t.Error(w.sum)
+	}
+}
+
 func TestListFlaps(t *testing.T) {
 	t.Parallel()
 	r := play(t, short(t, "3s", `
--- /dev/null
+++ b/internal/drill/objects.go
@@ -0,0 +1,271 @@
+package drill
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"weirhaven/client"
+	"weirhaven/internal/settings"
+)
+
+// ObjectCounts is what came of a drill's objects.
+type ObjectCounts struct {
+	Puts, Gets, Ranges, Deletes, Uploads int
+	Failed                               int // requests that were answered with an error, or not
+	Wrong                                int // reads that gave other bytes than any that may be there
+	Lost                                 int // names that were answered and are not there
+	Checked                              int // names looked at once all was over
+	First                                string
+}
+
+// Requests is how many there were; Good tells whether no byte was wrong.
+func (o ObjectCounts) Requests() int { return o.Puts + o.Gets + o.Ranges + o.Deletes + o.Uploads }
+func (o ObjectCounts) Good() bool    { return o.Wrong == 0 && o.Lost == 0 }
+
+func (o ObjectCounts) String() string {
+	return fmt.Sprintf("%d puts, %d in parts, %d reads, %d of ranges, %d deletes; %d failed; %d names looked at in the end; %d wrong, %d lost %s", o.Puts, o.Uploads, o.Gets,
+		o.Ranges, o.Deletes, o.Failed, o.Checked, o.Wrong, o.Lost, o.First)
+}
+
+// content is an object's bytes, made anew from its seed.
+type content struct {
+	seed int64
+	size int
+}
+
+func (c content) bytes() []byte {
+	b := make([]byte, c.size)
+	rand.New(rand.NewSource(c.seed)).Read(b)
+	if c.size >= 8 {
+		binary.BigEndian.PutUint64(b, uint64(c.seed))
+	}
+	return b
+}
+
+// named is what may stand under a name: nothing (nil), or one of some contents: after a write that may have happened there are two.
+type named struct {
+	volume, name string
+	may          []*content
+}
+
+// objectWorks are a drill's object clients.
+type objectWorks struct {
+	r      *runner
+	mu     sync.Mutex
+	sum    ObjectCounts
+	names  [][]*named
+	client []*client.Client
+	stop   context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// objectPorts gives each host an address for objects that it keeps.
+func (r *runner) objectPorts() error {
+	for _, p := range r.hosts {
+		l, err := net.Listen("tcp", r.ip+":0")
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		p.objects = l.Addr().String()
+	}
+	return nil
+}
+
+func (r *runner) startObjects(ctx context.Context) *objectWorks {
+	o := &objectWorks{r: r}
+	ctx, o.stop = context.WithCancel(ctx)
+	volumes := 0
+	for _, g := range r.d.Volumes {
+		volumes += int(g.Count)
+	}
+	for i := range int(r.d.Objects.Workers) {
+		c, err := client.New(client.Config{Endpoint: "http://" + r.hosts[i%len(r.hosts)].objects, Repeats: 4, Wait: time.Second,
+			HTTP: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}})
+		if err != nil {
+			continue
+		}
+		var own []*named
+		for n := range int(r.d.Objects.Names) {
+			at := (i*7 + n) % volumes
+			own = append(own, &named{volume: volumeName(r.planOf(at), at), name: fmt.Sprintf("worker %d/%d", i, n), may: []*content{nil}})
+		}
+		o.client, o.names = append(o.client, c), append(o.names, own)
+		seed := r.rng.Int63()
+		o.wg.Add(1)
+		go func() {
+			defer o.wg.Done()
+			o.work(ctx, c, own, rand.New(rand.NewSource(seed)))
+		}()
+	}
+	return o
+}
+
+func (r *runner) planOf(no int) string {
+	for _, g := range r.d.Volumes {
+		if no < int(g.Count) {
+			return g.Plan
+		}
+		no -= int(g.Count)
+	}
+	return ""
+}
+
+func (o *objectWorks) count(f func(s *ObjectCounts)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f(&o.sum)
+}
+
+func (o *objectWorks) counts() ObjectCounts {
+	if o == nil {
+		return ObjectCounts{}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sum
+}
+
+func (o *objectWorks) work(ctx context.Context, c *client.Client, own []*named, rng *rand.Rand) {
+	l := o.r.d.Objects
+	pause := settings.Duration(l.Pause, 10*time.Millisecond)
+	for ctx.Err() == nil {
+		n := own[rng.Intn(len(own))]
+		switch x := rng.Float64(); {
+		case x < 0.4:
+			o.put(ctx, c, n, content{rng.Int63(), int(math.Exp(rng.Float64() * math.Log(float64(l.Largest))))}, rng.Float64() < l.Parts)
+		case x < 0.45:
+			o.count(func(s *ObjectCounts) { s.Deletes++ })
+			err := c.Delete(ctx, n.volume, n.name)
+			o.after(n, nil, err)
+		case x < 0.7:
+			o.get(ctx, c, n, 0, 0)
+		default:
+			from := rng.Int63n(int64(l.Largest))
+			o.get(ctx, c, n, from, 1+rng.Int63n(64<<10))
+		}
+		wait(ctx, time.Now().Add(pause))
+	}
+}
+
+// after notes what may stand under a name once a write ended.
+func (o *objectWorks) after(n *named, now *content, err error) {
+	switch {
+	case err == nil:
+		n.may = []*content{now}
+	default: // also where the last try can't have run: one before it may have
+		o.count(func(s *ObjectCounts) { s.Failed++ })
+		n.may = append(n.may, now)
+	}
+}
+
+func (o *objectWorks) put(ctx context.Context, c *client.Client, n *named, x content, parts bool) {
+	options := client.PutOptions{}
+	if parts {
+		x.size = 5<<20 + x.size%(1<<20)
+		options.Part = 5 << 20
+		o.count(func(s *ObjectCounts) { s.Uploads++ })
+	}
+	o.count(func(s *ObjectCounts) { s.Puts++ })
+	b := x.bytes()
+	_, err := c.Put(ctx, n.volume, n.name, bytes.NewReader(b), int64(len(b)), options)
+	o.after(n, &x, err)
+}
+
+// get reads, and judges what came: it must be, whole, one of what may be there.
+func (o *objectWorks) get(ctx context.Context, c *client.Client, n *named, from, size int64) {
+	if size > 0 {
+		o.count(func(s *ObjectCounts) { s.Ranges++ })
+	} else {
+		o.count(func(s *ObjectCounts) { s.Gets++ })
+	}
+	_, body, err := c.Get(ctx, n.volume, n.name, from, size)
+	var e *client.Error
+	if client.NotFound(err) {
+		o.judge(n, nil, false, from, size)
+		return
+	}
+	if errors.As(err, &e) && e.Status == http.StatusRequestedRangeNotSatisfiable {
+		return
+	}
+	if err == nil {
+		defer body.Close()
+		var b []byte
+		if b, err = io.ReadAll(body); err == nil {
+			o.judge(n, b, true, from, size)
+			return
+		}
+	}
+	if ctx.Err() == nil {
+		o.count(func(s *ObjectCounts) { s.Failed++ })
+	}
+}
+
+func (o *objectWorks) judge(n *named, got []byte, there bool, from, size int64) {
+	for _, x := range n.may {
+		switch {
+		case x == nil && !there:
+		case x == nil || !there:
+			continue
+		default:
+			want := x.bytes()
+			if from > int64(len(want)) {
+				continue
+			}
+			if want = want[from:]; size > 0 {
+				want = want[:min(size, int64(len(want)))]
+			}
+			if !bytes.Equal(got, want) {
+				continue
+			}
+		}
+		return
+	}
+	o.count(func(s *ObjectCounts) {
+		if there {
+			s.Wrong++
+		} else {
+			s.Lost++
+		}
+		if s.First == "" {
+			s.First = fmt.Sprintf("(first: %s/%s, %d bytes from %d of %d, there %v, %d may be)", n.volume, n.name, len(got), from, size, there, len(n.may))
+		}
+	})
+}
+
+// finish ends the workers, then looks at every name.
+func (o *objectWorks) finish(ctx context.Context) {
+	if o == nil {
+		return
+	}
+	o.stop()
+	o.wg.Wait()
+	var wg sync.WaitGroup
+	for i, own := range o.names {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for _, n := range own {
+				for range 20 { // bricks may be cold yet
+					before := o.counts().Failed
+					o.get(ctx, o.client[i], n, 0, 0)
+					if o.counts().Failed == before || !wait(ctx, time.Now().Add(100*time.Millisecond)) {
+						break
+					}
+				}
+				o.count(func(s *ObjectCounts) { s.Checked++ })
+			}
+		}()
+	}
+	wg.Wait()
+}
--- a/internal/standin/brick/brick.go
+++ b/internal/standin/brick/brick.go
@@ -32,6 +32,7 @@
 	Writes              map[string]bool // queue types that change data
 	Record              *record.Recorder
 	Tags                *Tags  // nil: its own
+	Data                *Data  // nil: its own; shared, it outlives the brick
 	Meter               *Meter // nil: it tells no metered
 	Elsewhere           bool
 	// HostOf is a host's number and incarnation by its name, for the record; may be nil.
@@ -58,6 +59,28 @@
 	seen map[string]time.Time
 }
 
+// Data is what the bricks of a cell keep, one after the other.
+type Data struct {
+	mu sync.Mutex
+	by map[string]stored
+}
+
+// NewData is empty.
+func NewData() *Data { return &Data{by: map[string]stored{}} }
+
+func (d *Data) get(object string) (stored, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.by[object]
+	return s, ok
+}
+
+func (d *Data) put(object string, body []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.by[object] = stored{body, d.by[object].times + 1}
+}
+
 // NewTags makes an empty memory.
 func NewTags() *Tags { return &Tags{seen: map[string]time.Time{}} }
 
@@ -156,7 +179,6 @@
 	flushAt  time.Time
 	recent   []string
 	arrived  []arrival
-	data     map[string]stored
 	done     map[string]float64            // units by volume
 	own      map[string]map[string]float64 // by host and volume
 	told     map[string]map[string]float64
@@ -196,13 +218,16 @@
 	if c.Tags == nil {
 		c.Tags = NewTags()
 	}
+	if c.Data == nil {
+		c.Data = NewData()
+	}
 	l, err := net.Listen("tcp", c.Address)
 	if err != nil {
 		return nil, fmt.Errorf("brick %s: %w", c.Name, err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	b := &Brick{c: c, rng: rand.New(rand.NewSource(c.Seed)), addr: l.Addr().String(), started: time.Now(),
-		data: map[string]stored{}, done: map[string]float64{}, own: map[string]map[string]float64{},
+		done: map[string]float64{}, own: map[string]map[string]float64{},
 		told: map[string]map[string]float64{}, conns: map[*conn]bool{}, wake: make(chan struct{}, 1), ctx: ctx, stop: stop}
 	b.flushAt = b.started.Add(settings.Duration(c.Kind.FlushEvery, time.Hour))
 	up := &wpb.Seen{What: wpb.Seen_BRICK_UP, Brick: c.Name, Cell: int32(c.Cell), Zone: c.Zone, Capacity: c.Speed}
@@ -389,7 +414,7 @@
 func (b *Brick) cancel(c *conn, id uint64) {
 	if j := c.ids[id]; j != nil { // also where it was worked off and its answer was lost
 		delete(c.ids, id)
-		b.c.Record.See(&wpb.Seen{What: wpb.Seen_CALLED_OFF, Brick: b.c.Name, Connection: c.no, Command: j.command, Dispatch: j.n})
+		b.see(j, &wpb.Seen{What: wpb.Seen_CALLED_OFF, Brick: b.c.Name, Connection: c.no, Command: j.command, Dispatch: j.n})
 	}
 	if b.c.Kind.Cancel == wpb.BrickKind_IGNORED {
 		return
@@ -423,7 +448,7 @@
 			}
 		}
 	}
-	b.c.Record.See(&wpb.Seen{What: wpb.Seen_REACHED, Brick: b.c.Name, Cell: int32(b.c.Cell), Zone: b.c.Zone,
+	b.see(j, &wpb.Seen{What: wpb.Seen_REACHED, Brick: b.c.Name, Cell: int32(b.c.Cell), Zone: b.c.Zone,
 		Command: j.command, Dispatch: j.n, Volume: j.volume, Units: j.units, Work: j.work, Connection: j.conn.no, Tag: j.tag})
 	b.press(j.work)
 	if b.fell {
@@ -442,6 +467,13 @@
 	}
 }
 
+// see records what is about a command of a recorded client; others (objects) are judged by their bytes.
+func (b *Brick) see(j *job, s *wpb.Seen) {
+	if j.command != 0 {
+		b.c.Record.See(s)
+	}
+}
+
 func (b *Brick) rouse() {
 	select {
 	case b.wake <- struct{}{}:
@@ -584,9 +616,8 @@
 	write := b.c.Writes[j.queue]
 	first := j.tag == "" || !write || b.c.TagWindow == 0 || b.c.Tags.first(j.tag, b.c.TagWindow)
 	if write && first {
-		s := b.data[j.object]
-		b.data[j.object] = stored{j.body, s.times + 1}
-		b.c.Record.See(&wpb.Seen{What: wpb.Seen_EFFECT, Brick: b.c.Name, Command: j.command, Dispatch: j.n, Tag: j.tag,
+		b.c.Data.put(j.object, j.body)
+		b.see(j, &wpb.Seen{What: wpb.Seen_EFFECT, Brick: b.c.Name, Command: j.command, Dispatch: j.n, Tag: j.tag,
 			Object: j.object})
 	}
 	b.done[j.volume] += j.units
@@ -599,7 +630,7 @@
 	}
 	body := j.body
 	if !write {
-		if s, ok := b.data[j.object]; ok {
+		if s, ok := b.c.Data.get(j.object); ok {
 			body = s.body
 		}
 	}
@@ -633,7 +664,7 @@
 		}
 	}
 	o.Whole("Load-Queue", int64(len(b.queue)))
-	b.c.Record.See(&wpb.Seen{What: wpb.Seen_REPLIED, Brick: b.c.Name, Command: j.command, Dispatch: j.n, How: verb,
+	b.see(j, &wpb.Seen{What: wpb.Seen_REPLIED, Brick: b.c.Name, Command: j.command, Dispatch: j.n, How: verb,
 		Connection: j.conn.no, Volume: j.volume, Units: j.units})
 	delete(j.conn.ids, j.id)
 	j.conn.sender.Send(o.End(body).B)
@@ -646,8 +677,6 @@
 
 // Stored tells how often an object was written here and with what last.
 func (b *Brick) Stored(object string) (times int, body []byte) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.data[object]
+	s, _ := b.c.Data.get(object)
 	return s.times, s.body
 }
