--- a/internal/edge/objects_test.go
+++ b/internal/edge/objects_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
@@ -187,6 +188,156 @@
 	return fmt.Sprintf("brick { name: \"sink\" address: %q cell: 0 }\n", l.Addr())
 }
 
+// keeping is a brick that keeps what is written and does no work.
+func keeping(t testing.TB) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	data := &sync.Map{}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				r := lineproto.NewReader(nc, 1<<20)
+				if _, err := lineproto.Greet(nc, r, "brick", "store", 5*time.Second, nil); err != nil {
+					return
+				}
+				for {
+					m, err := r.Read()
+					if err != nil {
+						return
+					}
+					body := m.Body
+					if m.Get("Queue-Type") == "put" {
+						data.Store(m.Get("Object"), body)
+						body = nil
+					} else if x, ok := data.Load(m.Get("Object")); ok {
+						body = x.([]byte)
+					}
+					var o lineproto.Out
+					if _, err := nc.Write(o.Start(lineproto.Done, m.ID).End(body).B); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Objects through the host over HTTP, and the same bytes in the same extents straight to the brick on one connection, one request after
+// the other.
+func BenchmarkObjects(b *testing.B) {
+	address := keeping(b)
+	url, _ := objectHost(b, objectConf+fmt.Sprintf("brick { name: \"store\" address: %q cell: 0 }\nobjects { listen: \"127.0.0.1:0\" index: %q read_type: \"get\" write_type: \"put\" }\n",
+		address, filepath.Join(b.TempDir(), "i.db")))
+	time.Sleep(1200 * time.Millisecond)
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer nc.Close()
+	r := lineproto.NewReader(nc, 1<<20)
+	if _, err := lineproto.Greet(nc, r, "host", "straight", 5*time.Second, nil); err != nil {
+		b.Fatal(err)
+	}
+	const extent = 256 << 10
+	straight := func(put bool, name string, body []byte) {
+		for at := 0; at < len(body); at += extent {
+			piece, q := body[at:min(at+extent, len(body))], "put"
+			if !put {
+				piece, q = nil, "get"
+			}
+			var o lineproto.Out
+			if _, err := nc.Write(o.Start(lineproto.Run, uint64(at+1)).Text("Volume", "yard").Text("Queue-Type", q).Text("Object", fmt.Sprint(name, at)).End(piece).B); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := r.Read(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	through := func(put bool, name string, body []byte) {
+		method, in := "GET", io.Reader(nil)
+		if put {
+			method, in = "PUT", bytes.NewReader(body)
+		}
+		q, err := http.NewRequest(method, url+"/yard/"+name, in)
+		if err != nil {
+			b.Fatal(err)
+		}
+		a, err := http.DefaultClient.Do(q)
+		if err != nil {
+			b.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, a.Body)
+		a.Body.Close()
+		if err != nil || a.StatusCode != 200 || !put && n != int64(len(body)) {
+			b.Fatal(a.Status, n, err)
+		}
+	}
+	for _, size := range []int{4 << 10, 1 << 20, 64 << 20} {
+		body := make([]byte, size)
+		rand.New(rand.NewSource(1)).Read(body)
+		for _, put := range []bool{true, false} {
+			for _, way := range []struct {
+				name string
+				f    func(put bool, name string, body []byte)
+			}{{"http", through}, {"straight", straight}} {
+				b.Run(fmt.Sprintf("%dKiB/put=%v/%s", size>>10, put, way.name), func(b *testing.B) {
+					way.f(true, "o", body)
+					h := hdrhistogram.New(1, 60e6, 3)
+					b.SetBytes(int64(size))
+					b.ReportAllocs()
+					for b.Loop() {
+						start := time.Now()
+						way.f(put, "o", body)
+						h.RecordValue(time.Since(start).Microseconds())
+					}
+					b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-us")
+					b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-us")
+				})
+			}
+		}
+	}
+}
+
+// What a thousand uploads hold that have sent a little and stand still. UPLOADS: so many.
+func BenchmarkSlowUploads(b *testing.B) {
+	n := 1000
+	fmt.Sscan(os.Getenv("UPLOADS"), &n)
+	url, _ := objectHost(b, objectConf+sink(b)+fmt.Sprintf("objects { listen: \"127.0.0.1:0\" index: %q read_type: \"get\" write_type: \"put\" requests: 5000 }\n",
+		filepath.Join(b.TempDir(), "i.db")))
+	time.Sleep(1200 * time.Millisecond)
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var all []net.Conn
+		for i := range n {
+			c, err := net.Dial("tcp", url[len("http://"):])
+			if err != nil {
+				b.Fatal(err)
+			}
+			fmt.Fprintf(c, "PUT /yard/slow%d HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n%s", i, make([]byte, 4000))
+			all = append(all, c)
+		}
+		time.Sleep(500 * time.Millisecond)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/float64(n)/1024, "KiB/upload")
+		for _, c := range all {
+			c.Close()
+		}
+	}
+}
+
 // A part far larger than the host's memory for it passes: what it holds is a window of extents. PART: bytes.
 func BenchmarkLargePart(b *testing.B) {
 	size := int64(256 << 20)
--- a/internal/object/gate/gate.go
+++ b/internal/object/gate/gate.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"bytes"
 	"context"
 	"crypto/md5"
 	"crypto/rand"
@@ -153,6 +154,7 @@
 	}
 	window := make(chan bool, g.c.Window)
 	buffers := sync.Pool{New: func() any { return make([]byte, g.c.Extent) }}
+	few := make([]byte, min(g.c.Extent, 16<<10))
 	digest := md5.New()
 	for ctx.Err() == nil {
 		select {
@@ -160,8 +162,19 @@
 		case <-ctx.Done():
 			continue
 		}
-		buf := buffers.Get().([]byte)
-		n, err := io.ReadFull(in, buf)
+		n, err := io.ReadFull(in, few) // a client that is slow holds no more than this
+		buf := few
+		if err == nil && g.c.Extent > int64(len(few)) {
+			buf = buffers.Get().([]byte)
+			copy(buf, few)
+			var more int
+			more, err = io.ReadFull(in, buf[n:])
+			if n += more; errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF // the stream ended just there: what is read is the last extent
+			}
+		} else if n > 0 {
+			buf = bytes.Clone(few[:n])
+		}
 		if n > 0 {
 			digest.Write(buf[:n])
 			w.Size += int64(n)
@@ -174,7 +187,9 @@
 				defer wg.Done()
 				defer func() { <-window }()
 				e, tried, f := g.extent(ctx, volume, cells, buf[:n])
-				buffers.Put(buf)
+				if int64(cap(buf)) == g.c.Extent {
+					buffers.Put(buf[:cap(buf)])
+				}
 				mu.Lock()
 				all = append(all, tried...)
 				w.Extents[at] = e
