Object clients that stand still are cut off; one way to end with whoever started a program

Need: a client that stopped in mid-body held its place for ever. Change: each read of a body and each write of an answer has a time of its own (bounds.stall); internal/life for SIGTERM and standard input, used by weiredge and weirplan.

--- a/internal/capture/load.go
+++ b/internal/capture/load.go
@@ -1,6 +1,7 @@
 package capture
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -62,18 +63,14 @@
 		return nil, errors.Join(append(bad, fmt.Errorf("no capture (*%s) in %s", Suffix, strings.Join(paths, ", ")))...)
 	}
 	l.Torn.Blocks += len(bad) // a segment that was torn at its head; the others tell the rest
-	slices.SortStableFunc(l.Lines, func(a, b *wpb.Captured) int {
-		switch {
-		case a.At < b.At:
-			return -1
-		case a.At > b.At:
-			return 1
-		}
-		return 0
-	})
+	l.byTime()
 	return l, nil
 }
 
+func (l *Load) byTime() {
+	slices.SortStableFunc(l.Lines, func(a, b *wpb.Captured) int { return cmp.Compare(a.At, b.At) })
+}
+
 func (l *Load) file(name string, lives map[string]bool) error {
 	f, err := os.Open(name)
 	if err != nil {
@@ -143,15 +140,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(l.Lines, func(a, b *wpb.Captured) int {
-		switch {
-		case a.At < b.At:
-			return -1
-		case a.At > b.At:
-			return 1
-		}
-		return 0
-	})
+	l.byTime()
 	return err
 }
 
--- a/internal/edge/main.go
+++ b/internal/edge/main.go
@@ -1,15 +1,13 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"weirhaven/internal/hostloop"
+	"weirhaven/internal/life"
 	"weirhaven/internal/settings"
 	"weirhaven/internal/wpb"
 	"weirhaven/policy"
@@ -42,16 +40,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := life.Context(c.Bound)
 	defer stop()
-	if c.Bound {
-		var abandon context.CancelFunc
-		ctx, abandon = context.WithCancel(ctx)
-		go func() { // ends with the process
-			io.Copy(io.Discard, os.Stdin)
-			abandon()
-		}()
-	}
 	return Run(ctx, conf, Options{Log: log, Start: start, Ready: func(clients, peers string) {
 		fmt.Printf("READY %s %s\n", clients, peers)
 	}})
--- a/internal/edge/objects.go
+++ b/internal/edge/objects.go
@@ -69,7 +69,7 @@
 		o.index.Close()
 		return nil, fmt.Errorf("listen for objects: %w", err)
 	}
-	o.server = &http.Server{Handler: api.Handler(api.Config{Gate: o.gate, Keys: access, Skew: settings.Duration(c.Skew, 15*time.Minute), Requests: int(or(c.Requests, 256)), Log: e.log}),
+	o.server = &http.Server{Handler: api.Handler(api.Config{Gate: o.gate, Keys: access, Skew: settings.Duration(c.Skew, 15*time.Minute), Requests: int(or(c.Requests, 256)), Stall: e.limits.Stall, Log: e.log}),
 		ReadHeaderTimeout: e.limits.Stall, IdleTimeout: e.limits.Idle, MaxHeaderBytes: 64 << 10, Protocols: &http.Protocols{}}
 	o.server.Protocols.SetHTTP1(true)
 	o.server.Protocols.SetUnencryptedHTTP2(true)
--- /dev/null
+++ b/internal/life/life.go
@@ -0,0 +1,24 @@
+// Package life is how long a program lives: until it is told to stop, or until whoever started it is gone.
+package life
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Context ends at SIGTERM or SIGINT; bound: also when standard input does, so that no process is left over by whoever started it.
+func Context(bound bool) (ctx context.Context, stop context.CancelFunc) {
+	ctx, stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	if !bound {
+		return ctx, stop
+	}
+	ctx, abandon := context.WithCancel(ctx)
+	go func() { // ends with the process
+		io.Copy(io.Discard, os.Stdin)
+		abandon()
+	}()
+	return ctx, func() { abandon(); stop() }
+}
--- a/internal/object/api/api.go
+++ b/internal/object/api/api.go
@@ -37,8 +37,10 @@
 	Skew      time.Duration
 	Requests  int   // at once
 	LeastPart int64 // of an upload, but the last; 0: 5 MiB
-	Log       *slog.Logger
-	Now       func() time.Time
+	// Stall is how long a client may send nothing of a body, or take nothing of an answer, before it is cut off; 0: for ever.
+	Stall time.Duration
+	Log   *slog.Logger
+	Now   func() time.Time
 }
 
 type api struct {
@@ -70,6 +72,11 @@
 
 func (a *api) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{api: a, w: w, r: r}
+	if a.c.Stall > 0 {
+		p := &paced{ResponseWriter: w, body: r.Body, control: http.NewResponseController(w), stall: a.c.Stall}
+		c.w, r.Body = p, p
+		w = p
+	}
 	w.Header().Set("Server", "weirhaven")
 	select {
 	case a.room <- true:
@@ -83,6 +90,27 @@
 	}
 }
 
+// paced gives each step of a body's way a time of its own: a client may be slow, but not stand still.
+type paced struct {
+	http.ResponseWriter
+	body    io.ReadCloser
+	control *http.ResponseController
+	stall   time.Duration
+}
+
+func (p *paced) Read(b []byte) (int, error) {
+	p.control.SetReadDeadline(time.Now().Add(p.stall))
+	return p.body.Read(b)
+}
+
+func (p *paced) Write(b []byte) (int, error) {
+	p.control.SetWriteDeadline(time.Now().Add(p.stall))
+	return p.ResponseWriter.Write(b)
+}
+
+func (p *paced) Close() error                { return p.body.Close() }
+func (p *paced) Unwrap() http.ResponseWriter { return p.ResponseWriter }
+
 func (c *call) serve() error {
 	path, ok := strings.CutPrefix(c.r.URL.Path, "/")
 	if !ok {
--- a/internal/object/api/api_test.go
+++ b/internal/object/api/api_test.go
@@ -740,6 +740,43 @@
 	}
 }
 
+// A client that stands still in mid-body, or takes nothing of an answer, is cut off and frees its place; a slow one is not.
+func TestStandingStill(t *testing.T) {
+	w := start(t)
+	w.put(t, "a", random(8<<20, 1))
+	s := httptest.NewServer(Handler(Config{Gate: w.g, Requests: 1, Stall: 300 * time.Millisecond, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}))
+	defer s.Close()
+	for _, what := range []string{"PUT /yard/b HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\nsome", "GET /yard/a HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.(*net.TCPConn).SetReadBuffer(4096)
+		fmt.Fprint(c, what)
+		free := false
+		for end := time.Now().Add(10 * time.Second); !free && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			a, err := http.Head(s.URL + "/yard")
+			free = err == nil && a.StatusCode == 200
+		}
+		if !free {
+			t.Errorf("%.10s: the place is not free again", what)
+		}
+	}
+	slow, out := io.Pipe()
+	go func() {
+		for range 10 {
+			out.Write(make([]byte, 100))
+			time.Sleep(50 * time.Millisecond)
+		}
+		out.Close()
+	}()
+	r, _ := http.NewRequest("PUT", s.URL+"/yard/slow", slow)
+	if a, err := http.DefaultClient.Do(r); err != nil || a.StatusCode != 200 {
+		t.Error(err, a)
+	}
+}
+
 func FuzzSignature(f *testing.F) {
 	f.Add("AWS4-HMAC-SHA256 Credential=k/20260301/here/s3/aws4_request, SignedHeaders=host;x-amz-date;x-amz-content-sha256, Signature="+strings.Repeat("0", 64), "20260301T120000Z", "/a")
 	keys := Keys{"k": {"secret", []string{"*"}}}
--- a/internal/plan/serve/main.go
+++ b/internal/plan/serve/main.go
@@ -1,14 +1,12 @@
 package serve
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
+	"weirhaven/internal/life"
 	"weirhaven/internal/settings"
 	"weirhaven/internal/wpb"
 )
@@ -29,15 +27,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := life.Context(c.Bound)
 	defer stop()
-	if c.Bound {
-		var abandon context.CancelFunc
-		ctx, abandon = context.WithCancel(ctx)
-		go func() { // ends with the process
-			io.Copy(io.Discard, os.Stdin)
-			abandon()
-		}()
-	}
 	return Run(ctx, conf, Options{Log: log, Ready: func(a string) { fmt.Println("READY", a) }})
 }
