A program's end no longer ends itself for ever

Cause: the function that ends a program's context was assigned to the name that it calls; each host died of its stack at SIGTERM.

--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -10,15 +10,15 @@
 )
 
 // Context ends at SIGTERM or SIGINT; bound: also when standard input does, so that no process is left over by whoever started it.
-func Context(bound bool) (ctx context.Context, stop context.CancelFunc) {
-	ctx, stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+func Context(bound bool) (context.Context, context.CancelFunc) {
+	told, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	if !bound {
-		return ctx, stop
+		return told, unhook
 	}
-	ctx, abandon := context.WithCancel(ctx)
+	ctx, abandon := context.WithCancel(told)
 	go func() { // ends with the process
 		io.Copy(io.Discard, os.Stdin)
 		abandon()
 	}()
-	return ctx, func() { abandon(); stop() }
+	return ctx, func() { abandon(); unhook() }
 }
