--- a/internal/object/api/api_test.go
+++ b/internal/object/api/api_test.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -538,9 +539,12 @@
 		t.Errorf("%d extents have bytes, the object has 5", w.b.held())
 	}
 	// A read that fails before its first byte is an error; later it breaks off.
-	n := 0
-	w.b.failing(func(*hostloop.Task) *hostloop.Answer {
-		if n++; n > 3 {
+	o, err := w.g.Index().Get("yard", "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.b.failing(func(task *hostloop.Task) *hostloop.Answer {
+		if task.Object != "x/"+o.Extent[0].Id {
 			return &hostloop.Answer{How: hostloop.Aborted}
 		}
 		return nil
@@ -701,6 +705,105 @@
 	}
 }
 
+// A part whose first try is answered only after its second was: one effect each, the later answered stands, and the bytes are its own. An end
+// of the upload while the second is in flight takes the first.
+func TestLatePart(t *testing.T) {
+	w := start(t)
+	begin := func(name string) *string {
+		u, err := w.s3.CreateMultipartUpload(ctx, &s3.CreateMultipartUploadInput{Bucket: aws.String("yard"), Key: aws.String(name)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return u.UploadId
+	}
+	part := func(name string, id *string, body []byte) (string, error) {
+		o, err := w.s3.UploadPart(ctx, &s3.UploadPartInput{Bucket: aws.String("yard"), Key: aws.String(name), UploadId: id, PartNumber: aws.Int32(1), Body: bytes.NewReader(body)})
+		if err != nil {
+			return "", err
+		}
+		return *o.ETag, nil
+	}
+	end := func(name string, id *string, tag string) error {
+		_, err := w.s3.CompleteMultipartUpload(ctx, &s3.CompleteMultipartUploadInput{Bucket: aws.String("yard"), Key: aws.String(name), UploadId: id,
+			MultipartUpload: &types.CompletedMultipartUpload{Parts: []types.CompletedPart{{PartNumber: aws.Int32(1), ETag: aws.String(tag)}}}})
+		return err
+	}
+	// held lets the first command that is written next wait until it is let go.
+	held := func() (reached, letGo chan bool) {
+		reached, letGo = make(chan bool), make(chan bool)
+		fired := false // under the bricks' lock
+		w.b.failing(func(*hostloop.Task) *hostloop.Answer {
+			if !fired {
+				fired = true
+				close(reached)
+				w.b.mu.Unlock()
+				<-letGo
+				w.b.mu.Lock()
+			}
+			return nil
+		})
+		return reached, letGo
+	}
+	one, two := random(900, 1), random(900, 2)
+	id := begin("late")
+	reached, letGo := held()
+	first := make(chan string, 1)
+	go func() {
+		tag, err := part("late", id, one)
+		if err != nil {
+			t.Error(err)
+		}
+		first <- tag
+	}()
+	<-reached
+	if _, err := part("late", id, two); err != nil {
+		t.Fatal(err)
+	}
+	close(letGo)
+	tag := <-first
+	if err := end("late", id, tag); err != nil {
+		t.Error(err)
+	}
+	if b, _, err := w.get("late", ""); err != nil || !bytes.Equal(b, one) {
+		t.Error("not the bytes of the part answered last", err)
+	}
+	id = begin("flight")
+	w.b.failing(nil)
+	tag, err := part("flight", id, one)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reached, letGo = held()
+	second := make(chan error, 1)
+	go func() {
+		_, err := part("flight", id, two)
+		second <- err
+	}()
+	<-reached
+	if err := end("flight", id, tag); err != nil {
+		t.Error(err)
+	}
+	close(letGo)
+	if err := <-second; code(err) != "NoSuchUpload" {
+		t.Error(err)
+	}
+	if b, _, err := w.get("flight", ""); err != nil || !bytes.Equal(b, one) {
+		t.Error("a part in flight changed what was ended", err)
+	}
+	for {
+		n, _, err := w.g.Sweep(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n == 0 {
+			break
+		}
+	}
+	if w.b.held() != 2 {
+		t.Errorf("%d extents have bytes", w.b.held())
+	}
+}
+
 // Names with odd bytes come back as they went.
 func TestOddNames(t *testing.T) {
 	w := start(t)
@@ -795,6 +898,44 @@
 	})
 }
 
+// Whatever stands in the body of an upload's end, it is answered, and nothing comes to stand.
+func FuzzComplete(f *testing.F) {
+	f.Add([]byte("<CompleteMultipartUpload><Part><PartNumber>1</PartNumber><ETag>x</ETag></Part></CompleteMultipartUpload>"))
+	w := start(f)
+	u, err := w.s3.CreateMultipartUpload(ctx, &s3.CreateMultipartUploadInput{Bucket: aws.String("yard"), Key: aws.String("f")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	h := Handler(Config{Gate: w.g, Requests: 1, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a := httptest.NewRecorder()
+		h.ServeHTTP(a, httptest.NewRequest("POST", "/yard/f?uploadId="+*u.UploadId, bytes.NewReader(body)))
+		if a.Code < 400 || a.Code > 499 {
+			t.Fatalf("%d for %q", a.Code, body)
+		}
+	})
+}
+
+func FuzzReadKeys(f *testing.F) {
+	f.Add([]byte("key a-long-secret yard,other # one\n"))
+	dir := f.TempDir()
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file := filepath.Join(dir, "access")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		keys, err := ReadKeys(file)
+		if err == nil && len(keys) == 0 {
+			t.Fatal("no keys and no error")
+		}
+		for _, k := range keys {
+			if len(k.secret) < 8 {
+				t.Fatal("a short secret")
+			}
+		}
+	})
+}
+
 func FuzzChunked(f *testing.F) {
 	f.Add([]byte("5\r\nhello\r\n0\r\nx-amz-checksum-crc32:NhCmhg==\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
