A stopping planner waits for its streams before it closes its store

Cause: the server's stop did not wait for handlers, which could still write to a store that was being closed. Change: it waits.

--- a/internal/plan/serve/serve.go
+++ b/internal/plan/serve/serve.go
@@ -152,7 +152,7 @@
 	inner, stop := context.WithCancel(ctx)
 	defer stop()
 	p.stop = stop
-	server := grpc.NewServer(append(creds, grpc.MaxRecvMsgSize(mostBytes), grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: o.Stall}),
+	server := grpc.NewServer(append(creds, grpc.WaitForHandlers(true), grpc.MaxRecvMsgSize(mostBytes), grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: o.Stall}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}))...)
 	wpb.RegisterPlanningServer(server, p)
 	var wg sync.WaitGroup
