weiredge platform: a real host of the users' platform, clients, bricks and list over HTTP/1.1

weiredge gets a second way to be started, which reads the platform's configuration. internal/http1 reads both directions of HTTP/1.1 strictly and bounded; internal/platform holds the configuration, the clients' side, a pool of connections to each brick, the watch of the list and the wiring. The host loop hands the module time stamps taken at the sockets, plan and hosts by command, and the list as it is told.

--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -107,9 +107,13 @@
 // Task is a command as a client sent it.
 type Task struct {
 	Volume, QueueType, Object, Tag, Trace string
+	Plan                                  string // with Hosts, where VolumeOf is nil: as each command tells
+	Hosts                                 int
 	Cell                                  int // -1: a new object
 	Units                                 float64
 	Timeout                               time.Duration // 0: that of the queue type
+	Arrived                               time.Duration // from when the time-out counts; 0: from now
+	Lead                                  []byte        // what its front wrote for the lines to bricks; not looked at here
 	Repeat                                bool
 	Body                                  []byte
 	// Answer is called once, from the loop. It must not block.
@@ -253,7 +257,7 @@
 		case t.f != nil:
 			t.f()
 		case !t.d.over:
-			c.ended(t.d, policy.TimedOut, nil, 0, 0)
+			c.ended(t.d, c.now, policy.TimedOut, nil, 0, 0)
 		}
 		c.settle()
 	}
@@ -297,10 +301,14 @@
 
 // Take hands a command to the module. A command that can't be handed over is aborted at once.
 func (c *Core) Take(t *Task) {
-	plan, hosts, ok := c.volumeOf(t.Volume)
-	if !ok {
-		t.Answer(Answer{How: Aborted, Reason: fmt.Sprintf("unknown volume %q", t.Volume)})
-		return
+	plan, hosts, key := t.Plan, t.Hosts, t.Volume+" "+t.Plan // a wrong plan must not bind a volume for others
+	if c.volumeOf != nil {
+		var ok bool
+		if plan, hosts, ok = c.volumeOf(t.Volume); !ok {
+			t.Answer(Answer{How: Aborted, Reason: fmt.Sprintf("unknown volume %q", t.Volume)})
+			return
+		}
+		key = t.Volume
 	}
 	timeout, ok := c.timeouts[t.QueueType]
 	if !ok {
@@ -310,17 +318,21 @@
 	if t.Timeout > 0 {
 		timeout = min(timeout, t.Timeout)
 	}
-	v := c.volumes[t.Volume]
+	v := c.volumes[key]
 	if v == nil {
 		v = &volume{hosts: hosts}
-		c.volumes[t.Volume] = v
+		c.volumes[key] = v
 	}
 	if v.hosts != hosts {
 		v.hosts = hosts
 		c.in.VolumeHosts(&v.Volume, hosts)
 	}
 	c.ids++
-	x := &command{Command: policy.Command{ID: int64(c.ids), Volume: &v.Volume}, task: t, giveUp: c.now + timeout}
+	from := c.now
+	if t.Arrived > 0 {
+		from = min(from, t.Arrived)
+	}
+	x := &command{Command: policy.Command{ID: int64(c.ids), Volume: &v.Volume}, task: t, giveUp: from + timeout}
 	t.cmd = x
 	if c.tap != nil && c.tap.On() {
 		x.past = &Past{Volume: t.Volume, Plan: plan, QueueType: t.QueueType, Object: t.Object, Cell: t.Cell, Body: len(t.Body), Units: t.Units,
@@ -388,6 +400,12 @@
 
 // Outcome tells how a dispatch ended. What is over already, or went to another brick, is counted and thrown away.
 func (c *Core) Outcome(from string, id uint64, how policy.Ending, body []byte, elsewhere, metered float64) {
+	c.OutcomeAt(c.now, from, id, how, body, elsewhere, metered)
+}
+
+// OutcomeAt is Outcome with the time at which it was seen on the connection: what it then waited for the loop's turn
+// says nothing of the brick.
+func (c *Core) OutcomeAt(at time.Duration, from string, id uint64, how policy.Ending, body []byte, elsewhere, metered float64) {
 	d := c.dispatches[id]
 	if d == nil {
 		c.counts.Late++
@@ -397,7 +415,7 @@
 		c.counts.Misfit++
 		return
 	}
-	c.ended(d, how, body, elsewhere, metered)
+	c.ended(d, at, how, body, elsewhere, metered)
 	c.settle()
 }
 
@@ -416,12 +434,13 @@
 	c.settle()
 }
 
-func (c *Core) ended(d *dispatch, how policy.Ending, body []byte, elsewhere, metered float64) {
+func (c *Core) ended(d *dispatch, at time.Duration, how policy.Ending, body []byte, elsewhere, metered float64) {
 	if d.over {
 		c.counts.Late++
 		return
 	}
 	x := d.cmd
+	at = min(max(at, d.at), c.now)
 	if how == policy.TimedOut && x.begun && !x.over {
 		return // a stream has no time-out
 	}
@@ -430,7 +449,7 @@
 	c.counts.Out--
 	x.outs = slices.DeleteFunc(x.outs, func(o *dispatch) bool { return o == d })
 	if x.past != nil {
-		x.past.Tries[d.try].Took, x.past.Tries[d.try].How = c.now-d.at, how
+		x.past.Tries[d.try].Took, x.past.Tries[d.try].How = at-d.at, how
 	}
 	if how == policy.TimedOut && d.to != nil && d.to.line != nil {
 		d.to.line.Forget(d.id)
@@ -446,7 +465,7 @@
 	case x.begun && !x.over: // the break of a stream is the client's
 		c.answer(x, Answer{How: Aborted, Reason: "the answer broke off"})
 	}
-	c.in.Ended(d.Dispatch, how, c.now-d.at, x.over, elsewhere, metered)
+	c.in.Ended(d.Dispatch, how, at-d.at, x.over, elsewhere, metered)
 	c.forget(x)
 	if d.to != nil {
 		if d.to.out--; how == policy.Completed && c.now-d.to.alive >= time.Second {
@@ -486,6 +505,7 @@
 	Serving, Gone       bool
 	Dated               bool          // its start is known
 	Age                 time.Duration // since its start, on the teller's clock
+	Started             time.Duration // for Told, where all go by one clock; 0: long ago
 }
 
 // lines puts starts on this host's clock.
@@ -508,6 +528,22 @@
 	c.told()
 }
 
+// Told is a list, or the changes of one, of a teller whose word is taken as it is: the module hears it line by line, at
+// once, and no belief is formed.
+func (c *Core) Told(whole bool, lines []BrickLine) {
+	c.in.ListBegins(whole)
+	if whole {
+		for _, b := range c.bricks {
+			b.gone = true
+		}
+	}
+	for _, l := range lines {
+		c.BrickIs(l.Name, l.Address, l.Zone, l.Cell, l.Serving, l.Gone, l.Started)
+	}
+	c.moved = true
+	c.told()
+}
+
 // ListHolds tells that the list service still has nothing new.
 func (c *Core) ListHolds() { c.fleet.ListHolds(c.now) }
 
@@ -763,7 +799,7 @@
 		left = min(left, timeout)
 	}
 	if x.over || left <= 0 || x.sent >= c.max || b == nil || b.line == nil || c.closing {
-		c.later = append(c.later, func() { c.ended(o, policy.Unsent, nil, 0, 0) })
+		c.later = append(c.later, func() { c.ended(o, c.now, policy.Unsent, nil, 0, 0) })
 		return
 	}
 	x.sent++
@@ -802,7 +838,7 @@
 			if o.to != nil && o.to.line != nil {
 				o.to.line.Cancel(o.id)
 			}
-			c.later = append(c.later, func() { c.ended(o, policy.CalledOff, nil, 0, 0) })
+			c.later = append(c.later, func() { c.ended(o, c.now, policy.CalledOff, nil, 0, 0) })
 			return
 		}
 	}
--- /dev/null
+++ b/internal/platform/conf/conf.go
@@ -0,0 +1,189 @@
+// Package conf reads what the platform tells a host: its configuration file and the lists of bricks that stand in it or
+// come from discovery.
+package conf
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"weirhaven/internal/hostloop"
+	"weirhaven/policy"
+)
+
+// Config is a whole configuration.
+type Config struct {
+	Name, Listen, Discovery string
+	Limits                  Limits
+	Known                   List
+	Settings                policy.Settings
+	Connect                 time.Duration // most that a connection to a brick may take to come up
+	Idle                    time.Duration // a brick closes a connection left idle for so long
+}
+
+// Limits are those of the host's processes together.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+}
+
+// List is a list of bricks, or what changed in it.
+type List struct {
+	Revision int64
+	Whole    bool
+	Lines    []hostloop.BrickLine
+}
+
+const maxFile = 4 << 20
+
+// Load reads a configuration file.
+func Load(path string) (*Config, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if info.Size() > maxFile {
+		return nil, fmt.Errorf("configuration %s: %d bytes, at most %d", path, info.Size(), maxFile)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration. An error names the field.
+func Parse(text []byte) (*Config, error) {
+	var parser fastjson.Parser
+	v, err := parser.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return nil, errors.New("not an object")
+	}
+	c := &Config{Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
+		Discovery: string(v.GetStringBytes("discovery"))}
+	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nil, fmt.Errorf("%s: %q is no address with a port", field, address)
+		}
+	}
+	c.Limits = Limits{Cores: v.GetFloat64("limits", "cores"), MemoryMB: v.GetInt("limits", "memory_mb"),
+		Sockets: v.GetInt("limits", "sockets")}
+	switch l := c.Limits; {
+	case !(l.Cores > 0):
+		return nil, fmt.Errorf("limits.cores: %v, wanted more than 0", l.Cores)
+	case l.MemoryMB <= 0:
+		return nil, fmt.Errorf("limits.memory_mb: %d, wanted more than 0", l.MemoryMB)
+	case l.Sockets < MinSockets:
+		return nil, fmt.Errorf("limits.sockets: %d, wanted at least %d", l.Sockets, MinSockets)
+	}
+	seed, err := strconv.ParseUint(string(v.GetStringBytes("seed")), 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %s is no hexadecimal number", v.Get("seed"))
+	}
+	p := v.Get("settings")
+	if c.Settings, err = Settings(p, int64(seed)); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := check(c.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c.Connect, c.Idle = micros(p, "limits", "connect_timeout_us"), micros(p, "limits", "conn_idle_us")
+	if c.Connect <= 0 || c.Idle <= 0 {
+		return nil, errors.New("settings: limits.connect_timeout_us and limits.conn_idle_us must be more than 0")
+	}
+	if k := v.Get("known"); k != nil && k.Type() != fastjson.TypeNull {
+		if c.Known, err = list(k); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+// MinSockets is the least with which a host can work at all.
+const MinSockets = 64
+
+func check(s policy.Settings) error {
+	if len(s.QueueTypes) == 0 || len(s.Plans) == 0 {
+		return errors.New("no classes or no plans")
+	}
+	for i, q := range s.QueueTypes {
+		if q.Name == "" || q.ServiceTarget <= 0 || q.CommandTimeout <= 0 {
+			return fmt.Errorf("classes[%d]: name, aim_us and give_up_us are wanted", i)
+		}
+	}
+	for i, p := range s.Plans {
+		if p.Name == "" || p.Limit < 0 || p.Reservation < 0 || p.Nominal < 0 {
+			return fmt.Errorf("plans[%d]: a name is wanted, and no rate below 0", i)
+		}
+	}
+	if s.MaxDispatch < 1 {
+		return fmt.Errorf("limits.max_attempts: %d, wanted at least 1", s.MaxDispatch)
+	}
+	return nil
+}
+
+// ParseList reads a list as discovery tells it.
+func ParseList(p *fastjson.Parser, text []byte) (List, error) {
+	v, err := p.ParseBytes(text)
+	if err != nil {
+		return List{}, fmt.Errorf("not JSON: %w", err)
+	}
+	return list(v)
+}
+
+func list(v *fastjson.Value) (List, error) {
+	if v.Type() != fastjson.TypeObject {
+		return List{}, errors.New("not an object")
+	}
+	members := v.Get("members")
+	if members == nil || members.Type() != fastjson.TypeArray {
+		return List{}, errors.New("no members")
+	}
+	l := List{Revision: v.GetInt64("revision"), Whole: v.GetBool("complete")}
+	for i, m := range members.GetArray() {
+		b := hostloop.BrickLine{Name: string(m.GetStringBytes("id")), Address: string(m.GetStringBytes("host_port")),
+			Zone: string(m.GetStringBytes("locality")), Cell: -1}
+		phase := string(m.GetStringBytes("phase"))
+		b.Serving, b.Gone = phase == "in_service", phase == "terminated"
+		if phase != "in_service" && phase != "terminating" && phase != "terminated" {
+			return List{}, fmt.Errorf("members[%d].phase: unknown phase %q", i, phase)
+		}
+		if b.Name == "" {
+			return List{}, fmt.Errorf("members[%d].id: none", i)
+		}
+		if _, err := netip.ParseAddrPort(b.Address); err != nil && !b.Gone {
+			return List{}, fmt.Errorf("members[%d].host_port: %q is no address with a port", i, b.Address)
+		}
+		if n, err := strconv.Atoi(cellText(m.Get("cell"))); err == nil && n >= 0 {
+			b.Cell = n
+		} else if !b.Gone {
+			return List{}, fmt.Errorf("members[%d].cell: no whole number from 0", i)
+		}
+		if up := m.GetFloat64("up_since_ms"); up > 0 && up < math.MaxInt64/1e6 {
+			b.Started = time.Duration(up) * time.Millisecond
+		}
+		l.Lines = append(l.Lines, b)
+	}
+	return l, nil
+}
+
+func cellText(v *fastjson.Value) string {
+	if v == nil {
+		return ""
+	}
+	return string(v.MarshalTo(nil))
+}
--- /dev/null
+++ b/internal/platform/front/conn.go
@@ -0,0 +1,192 @@
+package front
+
+import (
+	"container/list"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"weirhaven/internal/hostloop"
+	"weirhaven/internal/http1"
+)
+
+// conn is one client connection, owned by one goroutine. While a command waits, that goroutine is parked in a read, so
+// that a client that goes away is noticed; the answer wakes it by the read's deadline.
+type conn struct {
+	front   *Front
+	nc      net.Conn
+	in      *http1.Reader
+	answers chan hostloop.Answer
+	by      time.Time // the request being read must be whole
+	closing bool      // by the client's word
+
+	place   *list.Element // under front.mu: among those without a request
+	evicted bool          // under front.mu
+}
+
+func newConn(f *Front, nc net.Conn) *conn {
+	return &conn{front: f, nc: nc, in: http1.NewReader(nc), answers: make(chan hostloop.Answer, 1), by: time.Now().Add(whole)}
+}
+
+var longAgo = time.Unix(1, 0)
+
+func (c *conn) run() {
+	defer c.front.end(c)
+	defer c.nc.Close()
+	c.nc.SetReadDeadline(c.by)
+	for {
+		err := c.in.Await()
+		if !c.front.begin(c) || err != nil {
+			return
+		}
+		arrived := c.front.o.Loop.Now()
+		if c.by.IsZero() {
+			c.by = time.Now().Add(whole)
+			c.nc.SetReadDeadline(c.by)
+		}
+		if !c.request(arrived) {
+			return
+		}
+		c.by = time.Time{}
+		c.nc.SetReadDeadline(time.Now().Add(quiet))
+		c.front.rest(c)
+	}
+}
+
+// request serves one; it tells whether the connection goes on.
+func (c *conn) request(arrived time.Duration) bool {
+	f := c.front
+	h, err := c.in.Request()
+	if err != nil {
+		return c.fault(err)
+	}
+	c.closing = h.Close || f.ending.Load()
+	if h.Method == "GET" && h.Target == "/-/ready" && h.Length == 0 {
+		status := 200
+		if !f.ready.Load() || f.ending.Load() {
+			status = 503
+		}
+		return c.write(status, "", nil, c.closing)
+	}
+	t, id, err := f.task(h)
+	if err != nil {
+		return c.fault(err)
+	}
+	if h.Get("Expect") == "100-continue" && c.in.Buffered() == 0 {
+		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	if t.Body, err = c.in.Body(h, maxBody); err != nil {
+		return c.fault(err)
+	}
+	if c.in.Buffered() > 0 { // a wrong length, or a request hidden behind this one
+		return c.fault(&http1.Error{Status: 400, What: "bytes beyond the request"})
+	}
+	t.Arrived = arrived
+	return c.command(t, id)
+}
+
+// command hands a task to the loop and passes its answer on.
+func (c *conn) command(t *hostloop.Task, id string) bool {
+	f := c.front
+	if !f.ids.take(id) {
+		return c.fault(&http1.Error{Status: 409, What: "the id is in use or was a moment ago"})
+	}
+	t.Answer = func(a hostloop.Answer) {
+		c.answers <- a // takes one without waiting
+		c.nc.SetReadDeadline(longAgo)
+	}
+	c.nc.SetReadDeadline(time.Time{}) // the loop answers every command within its time-out
+	f.mu.Lock()
+	f.counts.Requests++
+	f.mu.Unlock()
+	if !f.o.Loop.Offer(func(core *hostloop.Core) { core.Take(t) }) {
+		f.ids.free(id, false)
+		f.mu.Lock()
+		f.counts.Full++
+		f.mu.Unlock()
+		return c.write(503, "", nil, c.closing)
+	}
+	err := c.in.Await()
+	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) { // gone, or bytes that belong to no request
+		f.o.Loop.Post(func(core *hostloop.Core) { core.Gone(t) })
+		f.ids.free(id, true)
+		if err == nil {
+			return c.fault(&http1.Error{Status: 400, What: "bytes beyond the request"})
+		}
+		return false
+	}
+	a := <-c.answers
+	f.ids.free(id, true)
+	return c.answer(a)
+}
+
+func (c *conn) answer(a hostloop.Answer) bool {
+	last := c.closing || c.front.ending.Load()
+	switch a.How {
+	case hostloop.Completed:
+		return c.write(200, "", a.Body, last)
+	case hostloop.BusyReplied:
+		more := ""
+		if a.Pause > 0 {
+			more = "Retry-After: " + strconv.FormatFloat(a.Pause.Seconds(), 'f', 3, 64) + "\r\n"
+		}
+		return c.write(503, more, nil, last)
+	case hostloop.Aborted:
+		if a.Reason != "" {
+			c.front.refused(500, a.Reason)
+		}
+		if a.MayHaveRun {
+			return c.write(504, "", nil, last)
+		}
+		return c.write(500, "", nil, last)
+	}
+	return false
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	409: "Conflict", 411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+	500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable", 504: "Gateway Timeout",
+	505: "HTTP Version Not Supported"}
+
+func (c *conn) write(status int, more string, body []byte, last bool) bool {
+	b := make([]byte, 0, 128+len(more)+len(body))
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\n%s", status, reasons[status], more)
+	if last {
+		b = http1.AppendField(b, "Connection", "close")
+	}
+	c.nc.SetWriteDeadline(time.Now().Add(write))
+	if _, err := c.nc.Write(http1.AppendEnd(b, body)); err != nil {
+		return false
+	}
+	if last {
+		c.part()
+	}
+	return !last
+}
+
+// fault answers what can't be a command, if there is anything to answer, and ends the connection.
+func (c *conn) fault(err error) bool {
+	var wrong *http1.Error
+	switch {
+	case errors.As(err, &wrong):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		wrong = &http1.Error{Status: 408, What: "not whole in time"}
+	default:
+		return false // it broke off
+	}
+	c.front.refused(wrong.Status, wrong.What)
+	return c.write(wrong.Status, "", nil, true)
+}
+
+// part ends a connection so that its last answer is read: nothing more is sent, a bounded rest is read.
+func (c *conn) part() {
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(linger))
+	io.Copy(io.Discard, io.LimitReader(c.nc, 1<<20))
+}
--- /dev/null
+++ b/internal/platform/front/front.go
@@ -0,0 +1,269 @@
+// Package front takes commands from the platform's clients: HTTP/1.1, a request is a command, its response the one final
+// answer. What can't be a command gets an error and its connection ends; what can is handed to the host loop, which
+// alone decides about it.
+package front
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"weirhaven/internal/hostloop"
+	"weirhaven/policy"
+)
+
+// Loop takes events.
+type Loop interface {
+	Now() time.Duration
+	Offer(f func(*hostloop.Core)) bool
+	Post(f func(*hostloop.Core)) bool
+}
+
+// Options are what a front is made with.
+type Options struct {
+	Loop     Loop
+	Settings policy.Settings
+	Most     int // connections at a time
+	Log      *slog.Logger
+}
+
+// Times of a connection. All are absolute from an event that the client can't repeat at will.
+const (
+	whole  = 2 * time.Second        // from the accept, or a request's first byte, until it is there whole
+	quiet  = 10 * time.Second       // a served connection without a request
+	write  = 2 * time.Second        // until an answer is taken
+	linger = 500 * time.Millisecond // what is still sent is read and dropped, so that the answer is not lost to a reset
+)
+
+// Front is the clients' side of a host.
+type Front struct {
+	o      Options
+	queues map[string]policy.QueueType
+	plans  map[string]bool
+	ids    ids
+	ready  atomic.Bool
+	ending atomic.Bool // every answer is the last on its connection
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	fresh  list.List // of *conn without a request so far, oldest first
+	served list.List // of *conn between requests, oldest first
+	counts Counts
+	told   time.Time // when refusals were logged
+	unsaid int
+}
+
+// Counts are running totals.
+type Counts struct {
+	Accepted, Evicted, Turned, Requests, Refused, Full int64
+	Open                                               int
+}
+
+// New makes a front.
+func New(o Options) *Front {
+	f := &Front{o: o, queues: map[string]policy.QueueType{}, plans: map[string]bool{}, conns: map[*conn]bool{}}
+	for _, q := range o.Settings.QueueTypes {
+		f.queues[q.Name] = q
+	}
+	for _, p := range o.Settings.Plans {
+		f.plans[p.Name] = true
+	}
+	return f
+}
+
+// Ready lets /-/ready answer 200.
+func (f *Front) Ready() { f.ready.Store(true) }
+
+// Counts tells the totals so far.
+func (f *Front) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.counts
+	n.Open = len(f.conns)
+	return n
+}
+
+// Serve accepts until the listener is closed. It goes on accepting whatever is open already: room is made by closing
+// the connection that has been without a request for longest, those first that never had one.
+func (f *Front) Serve(l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, say
+			f.o.Log.Warn("accept failed; trying again", "err", err)
+			f.evict()
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c := newConn(f, nc)
+		f.mu.Lock()
+		f.counts.Accepted++
+		if len(f.conns) >= f.o.Most && !f.evictOne() {
+			f.counts.Turned++
+			f.mu.Unlock()
+			nc.Close()
+			continue
+		}
+		f.conns[c] = true
+		c.place = f.fresh.PushBack(c)
+		f.mu.Unlock()
+		f.wg.Add(1)
+		go func() {
+			defer f.wg.Done()
+			c.run()
+		}()
+	}
+}
+
+func (f *Front) evict() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evictOne()
+}
+
+// evictOne closes the connection that can best be done without. Under mu.
+func (f *Front) evictOne() bool {
+	for _, l := range []*list.List{&f.fresh, &f.served} {
+		if e := l.Front(); e != nil {
+			c := e.Value.(*conn)
+			l.Remove(e)
+			c.place, c.evicted = nil, true
+			delete(f.conns, c)
+			c.nc.Close()
+			f.counts.Evicted++
+			return true
+		}
+	}
+	return false
+}
+
+// begin marks that a connection's request is being read; false: it was closed to make room.
+func (f *Front) begin(c *conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unplace(c)
+	return !c.evicted
+}
+
+func (f *Front) unplace(c *conn) {
+	if c.place != nil {
+		f.fresh.Remove(c.place) // a list ignores another's elements
+		f.served.Remove(c.place)
+		c.place = nil
+	}
+}
+
+// rest marks that a connection waits for its next request.
+func (f *Front) rest(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.place = f.served.PushBack(c)
+}
+
+func (f *Front) end(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unplace(c)
+	delete(f.conns, c)
+}
+
+// refused counts what could not be a command and now and then says so.
+func (f *Front) refused(status int, why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Refused++
+	f.unsaid++
+	if now := time.Now(); now.Sub(f.told) >= time.Second {
+		f.o.Log.Info("requests refused that are no commands", "since the last line", f.unsaid, "last", status, "why", why)
+		f.told, f.unsaid = now, 0
+	}
+}
+
+// Stop lets clients go: for a grace all is served as ever, each answer the last on its connection; then nothing more is
+// accepted, idle connections end, and what was taken is answered. It returns when all is, or ctx ends.
+func (f *Front) Stop(ctx context.Context, l net.Listener, grace time.Duration) {
+	f.ending.Store(true)
+	select {
+	case <-time.After(grace):
+	case <-ctx.Done():
+	}
+	l.Close()
+	done := make(chan struct{})
+	go func() { // ends with the last connection, which has bounds of its own
+		defer close(done)
+		f.wg.Wait()
+	}()
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		f.mu.Lock()
+		for f.evictOne() {
+		}
+		f.mu.Unlock()
+		select {
+		case <-done:
+			return
+		case <-ctx.Done():
+			f.Close()
+			<-done
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Close ends every connection at once.
+func (f *Front) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.nc.Close()
+	}
+}
+
+// ids are the commands' names in use. One that was in use a moment ago counts too: a late copy of a command would
+// otherwise be one more effect.
+type ids struct {
+	mu       sync.Mutex
+	open     map[string]bool
+	new, old map[string]bool // of late
+	turned   time.Time
+}
+
+const idsKept, idsFor = 4096, 10 * time.Second
+
+// take claims an id.
+func (x *ids) take(id string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.open == nil {
+		x.open, x.new, x.old = map[string]bool{}, map[string]bool{}, map[string]bool{}
+	}
+	if x.open[id] || x.new[id] || x.old[id] {
+		return false
+	}
+	x.open[id] = true
+	return true
+}
+
+// free lets go of an id; it is remembered for a while unless nothing came of it.
+func (x *ids) free(id string, remember bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.open, id)
+	if !remember {
+		return
+	}
+	if now := time.Now(); len(x.new) >= idsKept || now.Sub(x.turned) > idsFor {
+		x.old, x.new, x.turned = x.new, map[string]bool{}, now
+	}
+	x.new[id] = true
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,215 @@
+// Package platform runs a host of the platform: its configuration, its clients, bricks and list of bricks, its signals
+// and its limits, round the same host loop and decision module as every other host. Other fronts, listeners, stores and
+// tools are not started here: the limits leave no room for them.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"weirhaven/internal/fleet/decide"
+	"weirhaven/internal/fleet/member"
+	"weirhaven/internal/hostloop"
+	"weirhaven/internal/platform/conf"
+	"weirhaven/internal/platform/front"
+	"weirhaven/internal/platform/pool"
+	"weirhaven/internal/platform/watch"
+	"weirhaven/policy"
+)
+
+// Command is the command line.
+type Command struct {
+	Config string        `env:"EDGE_CONFIG" required:"" help:"The platform's configuration, JSON."`
+	State  time.Duration `default:"5s" help:"How often totals are logged; 0: never."`
+}
+
+// Execute serves until SIGTERM or SIGINT.
+func (c *Command) Execute(start func(policy.Host, policy.Settings) hostloop.Decider) error {
+	// Before all else: a signal that comes early must not end the program.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	config, err := conf.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if config.Limits.Cores <= 1 {
+		runtime.GOMAXPROCS(1)
+	}
+	// The heap may grow to half of what is allowed before the collector works harder; the rest is the program itself,
+	// stacks and the kernel's part.
+	debug.SetMemoryLimit(int64(config.Limits.MemoryMB) << 20 / 2)
+	h := &Host{Config: config, Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), Start: start, State: c.State}
+	reloads := make(chan *conf.Config)
+	go func() { // ends with the process
+		for range hup {
+			next, err := conf.Load(c.Config)
+			if err != nil {
+				h.Log.Error("reload: the old configuration stays in force", "err", err)
+				continue
+			}
+			reloads <- next
+		}
+	}()
+	return h.Run(ctx, reloads)
+}
+
+// Host is one host of the platform.
+type Host struct {
+	Config *conf.Config
+	Log    *slog.Logger
+	Start  func(policy.Host, policy.Settings) hostloop.Decider
+	State  time.Duration
+	Grace  time.Duration // how long all is served as ever after the end was told; 0: half a second
+	Up     func(net.Addr)
+
+	loop *hostloop.Loop
+	pool *pool.Pool
+}
+
+// Of the descriptors some are set aside for the listener, the watch, files and the runtime; clients may use a part of
+// the rest, bricks what is left.
+const (
+	aside       = 24
+	clientsPart = 0.55
+	loopQueue   = 4096
+)
+
+// Run serves until ctx ends, then ends what it holds.
+func (h *Host) Run(ctx context.Context, reloads <-chan *conf.Config) error {
+	c := h.Config
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
+	defer l.Close()
+	usable := c.Limits.Sockets - aside
+	clients := int(float64(usable) * clientsPart)
+	h.loop = hostloop.NewLoop(loopQueue)
+	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: c.Connect, Idle: c.Idle / 2})
+	core := hostloop.New(c.Settings, decide.Rules{}, h.Start, ways{h}, nil, time.Second, h.loop.Now())
+	core.Told(true, c.Known.Lines)
+	inner, stopLoop := context.WithCancel(context.Background())
+	defer stopLoop()
+	var wg sync.WaitGroup
+	spawn := func(f func()) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f()
+		}()
+	}
+	spawn(func() { h.loop.Run(inner, core) })
+	w := watch.New(watch.Options{Address: c.Discovery, Last: c.Known.Revision, Log: h.Log, Told: func(l conf.List) {
+		h.loop.Post(func(core *hostloop.Core) { core.Told(l.Whole, l.Lines) })
+	}})
+	spawn(func() { w.Run(inner) })
+	f := front.New(front.Options{Loop: h.loop, Settings: c.Settings, Most: clients, Log: h.Log})
+	spawn(func() { f.Serve(l) })
+	f.Ready()
+	h.Log.Info("serving", "name", c.Name, "clients", l.Addr().String(), "discovery", c.Discovery, "bricks", len(c.Known.Lines),
+		"revision", c.Known.Revision, "cores", c.Limits.Cores, "memory MB", c.Limits.MemoryMB, "connections of clients", clients,
+		"of bricks", usable-clients)
+	if h.Up != nil {
+		h.Up(l.Addr())
+	}
+	spawn(func() { h.states(inner, f) })
+	for serving := true; serving; {
+		select {
+		case next := <-reloads:
+			h.Log.Info("reload", "discovery", next.Discovery)
+			w.Move(next.Discovery)
+		case <-ctx.Done():
+			serving = false
+		}
+	}
+	grace := h.Grace
+	if grace == 0 {
+		grace = 500 * time.Millisecond
+	}
+	h.Log.Info("stopping: what comes in the grace is served, what is held gets its answer", "grace", grace)
+	bound, cancel := context.WithTimeout(inner, grace+longest(c.Settings)+time.Second)
+	f.Stop(bound, l, grace)
+	cancel()
+	h.state(f)
+	stopLoop()
+	<-h.loop.Done()
+	h.pool.Close()
+	wg.Wait()
+	h.Log.Info("stopped")
+	return nil
+}
+
+func longest(s policy.Settings) (d time.Duration) {
+	for _, q := range s.QueueTypes {
+		d = max(d, q.CommandTimeout)
+	}
+	return d
+}
+
+// states logs totals now and then.
+func (h *Host) states(ctx context.Context, f *front.Front) {
+	if h.State <= 0 {
+		return
+	}
+	tick := time.NewTicker(h.State)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			h.state(f)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) state(f *front.Front) {
+	got := make(chan hostloop.Counts, 1)
+	asked := time.Now()
+	if !h.loop.Post(func(c *hostloop.Core) { got <- c.Counts() }) {
+		return
+	}
+	var n hostloop.Counts
+	select {
+	case n = <-got:
+	case <-h.loop.Done():
+		return
+	}
+	lag := time.Since(asked)
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	var use syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &use)
+	cpu := time.Duration(use.Utime.Nano() + use.Stime.Nano())
+	b, a := h.pool.Counts(), f.Counts()
+	h.Log.Info("state", "taken", n.Taken, "completed", n.Completed, "busy-replied", n.BusyReplied, "aborted", n.Aborted, "left", n.Left,
+		"held", n.Held, "out", n.Out, "dispatches", n.Dispatches, "further", n.Further, "late", n.Late, "lag", lag, "cpu", cpu,
+		"heap", m.HeapAlloc, "sys", m.Sys, "goroutines", runtime.NumGoroutine(), "clients", a.Open, "accepted", a.Accepted,
+		"evicted", a.Evicted, "turned", a.Turned, "refused", a.Refused, "full", a.Full, "to bricks", b.Open, "opened", b.Opened,
+		"stale", b.Stale, "spoilt", b.Spoilt, "extra", b.Extra, "exhausted", b.Exhausted)
+}
+
+// ways are the loop's ways out. Of these the platform has bricks and a log; its watch is always on, and hosts don't talk.
+type ways struct{ *Host }
+
+func (w ways) Line(brick, address string) hostloop.Line   { return w.pool.Line(brick, address) }
+func (w ways) Log(line string)                            { w.Host.Log.Info(line, "from", "module") }
+func (w ways) Watch(bool)                                 {}
+func (w ways) ListAll()                                   {}
+func (w ways) Tell(int, []byte)                           {}
+func (w ways) Gossip(string, member.Message)              {}
+func (w ways) Share(string, time.Duration, []decide.Line) {}
+func (w ways) Members([]member.Member)                    {}
