--- a/internal/platform/front/request.go
+++ b/internal/platform/front/request.go
@@ -51,11 +51,11 @@
 		return nil, "", no(413, "body too large")
 	}
 	ms, ok := http1.Whole(h.Get("X-Remaining-Ms"))
-	if !ok || ms <= 0 || ms > math.MaxInt32 {
-		return nil, "", no(400, "the time left is no whole number above 0")
+	if !ok || ms > math.MaxInt32 {
+		return nil, "", no(400, "the time left is no whole number")
 	}
 	t := &hostloop.Task{Volume: volume, QueueType: queue, Object: object, Trace: id, Plan: h.Get("Tier"),
-		Timeout: time.Duration(ms) * time.Millisecond, Repeat: h.Get("X-Resent") == "1"}
+		Timeout: max(time.Duration(ms)*time.Millisecond, 1), Repeat: h.Get("X-Resent") == "1"}
 	if !shape(t, h.Get("Io-Info")) {
 		return nil, "", no(400, "units, shard or hosts are missing or out of range")
 	}
