--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,7 +171,14 @@
 	}
 	c.lane.count(now, c.units)
 	in.hold(c)
-	in.host.After(giveUp-in.early-now, func() { // set at once, so that the command timeout can't be missed
+	// What was sent nowhere by half of its time is given up then. Guards the connection that each held command
+	// takes, and clients, who have time left to ask again. It hurts what a brick that frees late would still do.
+	in.host.After((giveUp-now)/2-in.early, func() {
+		if !c.over && len(c.dispatches) == 0 {
+			in.giveUp(c)
+		}
+	})
+	in.host.After(giveUp-in.early-now, func() { // set at once: the command timeout can't be missed
 		if !c.over && !c.streaming {
 			in.giveUp(c)
 		}
