--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,9 +171,10 @@
 	}
 	c.lane.count(now, c.units)
 	in.hold(c)
-	// What was sent nowhere by half of its time is given up then. Guards the connection that each held command
-	// takes, and clients, who have time left to ask again. It hurts what a brick that frees late would still do.
-	in.host.After((giveUp-now)/2-in.early, func() {
+	// What was sent nowhere when its service target passes, or by half of its time, is given up then. Guards the
+	// connection that each held command takes, and clients, who have time left to ask again. It hurts where a brick
+	// that frees late would still do it.
+	in.host.After(min(max(c.target-now, in.lc), (giveUp-now)/2)-in.early, func() {
 		if !c.over && len(c.dispatches) == 0 {
 			in.giveUp(c)
 		}
