--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -86,6 +86,9 @@
 		return c.fault(&http1.Error{Status: 400, What: "bytes beyond the request"})
 	}
 	t.Arrived = arrived
+	if until := time.Duration(f.until.Load()); until > 0 {
+		t.Timeout = max(min(t.Timeout, until-arrived), 1)
+	}
 	return c.command(t, id)
 }
 
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -47,7 +47,8 @@
 	plans  map[string]bool
 	ids    ids
 	ready  atomic.Bool
-	ending atomic.Bool // every answer is the last on its connection
+	ending atomic.Bool  // every answer is the last on its connection
+	until  atomic.Int64 // on the loop's clock: every command must have its answer by then; 0: no such time
 	wg     sync.WaitGroup
 
 	mu     sync.Mutex
@@ -187,14 +188,16 @@
 	}
 }
 
-// Stop lets clients go: for a grace all is served as ever, each answer the last on its connection; then nothing more is
+// Stop lets clients go. All is served as ever for a while, since clients go on using the connections they have, but no
+// command may last beyond until. Then, last before until, each answer is the last on its connection, nothing more is
 // accepted, idle connections end, and what was taken is answered. It returns when all is, or ctx ends.
-func (f *Front) Stop(ctx context.Context, l net.Listener, grace time.Duration) {
-	f.ending.Store(true)
+func (f *Front) Stop(ctx context.Context, l net.Listener, until time.Duration, last time.Duration) {
+	f.until.Store(int64(until))
 	select {
-	case <-time.After(grace):
+	case <-time.After(until - last - f.o.Loop.Now()):
 	case <-ctx.Done():
 	}
+	f.ending.Store(true)
 	l.Close()
 	done := make(chan struct{})
 	go func() { // ends with the last connection, which has bounds of its own
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -71,7 +71,7 @@
 	Log    *slog.Logger
 	Start  func(policy.Host, policy.Settings) hostloop.Decider
 	State  time.Duration
-	Grace  time.Duration // how long all is served as ever after the end was told; 0: half a second
+	Spare  time.Duration // before the platform may kill the host, all is answered; 0: usualSpare
 	Up     func(net.Addr)
 
 	loop *hostloop.Loop
@@ -86,6 +86,15 @@
 	loopQueue   = 4096
 )
 
+// Once the end is told the platform kills a host no sooner than after the longest command timeout, killWait at most, and
+// killGrace. It is out of service until then however soon it ends, so it serves those who are still connected.
+const (
+	killWait   = 3 * time.Second
+	killGrace  = 700 * time.Millisecond
+	usualSpare = 250 * time.Millisecond
+	lastCalls  = 250 * time.Millisecond // before that: connections end with their answers
+)
+
 // Run serves until ctx ends, then ends what it holds.
 func (h *Host) Run(ctx context.Context, reloads <-chan *conf.Config) error {
 	c := h.Config
@@ -135,13 +144,14 @@
 			serving = false
 		}
 	}
-	grace := h.Grace
-	if grace == 0 {
-		grace = 500 * time.Millisecond
+	spare := h.Spare
+	if spare == 0 {
+		spare = usualSpare
 	}
-	h.Log.Info("stopping: what comes in the grace is served, what is held gets its answer", "grace", grace)
-	bound, cancel := context.WithTimeout(inner, grace+longest(c.Settings)+time.Second)
-	f.Stop(bound, l, grace)
+	killed := min(longest(c.Settings), killWait) + killGrace
+	h.Log.Info("stopping: served as ever for a while, then what is held gets its answer", "killed after", killed)
+	bound, cancel := context.WithTimeout(inner, longest(c.Settings)+killGrace+time.Second)
+	f.Stop(bound, l, h.loop.Now()+killed-spare, lastCalls)
 	cancel()
 	h.state(f)
 	stopLoop()
