Connections that hold no command make room, lingering and half-said ones too; tests of the platform

Seen in a test with 22 connections for clients: connections that linger after a refusal (0.5 s) or have sent half a request (2 s) were on no list, so a few dozen bad clients closed the door on the good ones. Lines at fault: front.evictOne, which knew silent and idle connections only; http1.line, which took a line that a deadline cut for a whole one (400 instead of 408).

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -178,7 +178,7 @@
 func (x *Reader) line() (string, error) {
 	x.bound.left, x.bound.err = maxHead+readAhead, nil
 	line, err := x.text.ReadLine()
-	if err != nil {
+	if err != nil || x.bound.err != nil { // what a broken connection cut comes as if it were a line
 		return "", x.cause(err)
 	}
 	if len(line) > maxLine {
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,169 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+func request(in string) string {
+	r := NewReader(strings.NewReader(in))
+	h, err := r.Request()
+	var body []byte
+	if err == nil {
+		body, err = r.Body(h, 16)
+	}
+	return show(err, func() string { return fmt.Sprintf("%s %s %q, %d left", h.Method, h.Target, body, r.Buffered()) })
+}
+
+func answer(in string) string {
+	r := NewReader(strings.NewReader(in))
+	h, err := r.Answer()
+	var body []byte
+	if err == nil {
+		body, err = r.Body(h, 16)
+	}
+	return show(err, func() string { return fmt.Sprintf("%d %q, close %v, %d left", h.Status, body, h.Close, r.Buffered()) })
+}
+
+func show(err error, good func() string) string {
+	var wrong *Error
+	switch {
+	case errors.As(err, &wrong):
+		return fmt.Sprintf("%d: %s", wrong.Status, wrong.What)
+	case err != nil:
+		return err.Error()
+	}
+	return good()
+}
+
+func TestRequests(t *testing.T) {
+	head := "PUT /a HTTP/1.1\r\nHost: h\r\n"
+	for in, want := range map[string]string{
+		"GET /a?b=1 HTTP/1.1\r\nHost: h\r\n\r\n":                                   `GET /a?b=1 "", 0 left`,
+		head + "Content-Length: 3\r\n\r\nabcGET":                                   `PUT /a "abc", 3 left`,
+		head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\nX": `PUT /a "abc", 1 left`,
+		head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n":           "400: both Content-Length and Transfer-Encoding",
+		head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc":                 "400: 2 lengths",
+		head + "Content-Length: -3\r\n\r\nabc":                                     `400: length "-3" is no whole number`,
+		head + "Content-Length: +3\r\n\r\nabc":                                     `400: length "+3" is no whole number`,
+		head + "Content-Length: 1\r\n 2\r\n\r\nabc":                                `400: length "1 2" is no whole number`,
+		head + "Content-Length: 99999999999999999999\r\n\r\n":                      `400: length "99999999999999999999" is no whole number`,
+		head + "Content-Length: 17\r\n\r\n":                                        "413: body of 17 bytes, at most 16",
+		head + "Content-Length: 3\r\n\r\nab":                                       "unexpected EOF",
+		head + "Transfer-Encoding: gzip\r\n\r\n":                                   `501: transfer coding "gzip"`,
+		head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n":           "400: malformed chunk",
+		head + "Transfer-Encoding: chunked\r\n\r\n11\r\n12345678901234567\r\n":     "413: body of more than 16 bytes",
+		head + "Content-Length : 3\r\n\r\nabc":                                     "400: malformed field name",
+		head + "X: a\x00b\r\n\r\n":                                                 "400: malformed head",
+		head + "no colon\r\n\r\n":                                                  "400: malformed head",
+		"GET /a HTTP/1.1\r\n\r\n":                                                  "400: 0 Host fields, wanted 1",
+		"GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n":                            "400: 2 Host fields, wanted 1",
+		"GET /a HTTP/1.0\r\nHost: h\r\n\r\n":                                       "505: version is not HTTP/1.1",
+		"GET a HTTP/1.1\r\nHost: h\r\n\r\n":                                        "400: malformed target",
+		"GET /a b HTTP/1.1\r\nHost: h\r\n\r\n":                                     "505: version is not HTTP/1.1",
+		"\x16\x03\x01\r\n":                                                         "400: malformed start line",
+		"GET /" + strings.Repeat("a", 5000) + " HTTP/1.1\r\n":                      "431: start line longer than 4096 bytes",
+		"GET /" + strings.Repeat("a", 50000):                                       "431: longer than allowed",
+		head + strings.Repeat("X: y\r\n", 100) + "\r\n":                            "431: fields longer or more than allowed",
+		head + strings.Repeat("X: y\r\n", 100000):                                  "431: longer than allowed",
+		head + "X: y": "unexpected EOF",
+	} {
+		if got := request(in); got != want {
+			t.Errorf("%.80q:\n got %s\nwant %s", in, got, want)
+		}
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	interim := "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	ok := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for in, want := range map[string]string{
+		ok:                              `200 "ok", close false, 0 left`,
+		ok + ok:                         fmt.Sprintf(`200 "ok", close false, %d left`, len(ok)),
+		strings.Repeat(interim, 7) + ok: `200 "ok", close false, 0 left`,
+		strings.Repeat(interim, 8) + ok: "502: more than 8 interim answers",
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n":                          "502: an upgrade that nobody asked for",
+		"HTTP/1.1 204 No Content\r\n\r\n":                                   `204 "", close false, 0 left`,
+		"HTTP/1.1 200 OK\r\nConnection: Close\r\nContent-Length: 0\r\n\r\n": `200 "", close true, 0 left`,
+		"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n":                      `200 "", close true, 0 left`,
+		"HTTP/1.1 200 OK\r\n\r\nok":                                         "502: no length",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok":           "413: body of 3000000000 bytes, at most 16",
+		"HTTP/1.1 2000 OK\r\n\r\n":                                          "502: malformed status line",
+		"noise noise noise\r\n\r\n":                                         "502: malformed status line",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok":                    "unexpected EOF",
+		strings.Repeat("x", 1<<20):                                          "431: longer than allowed",
+	} {
+		if got := answer(in); got != want {
+			t.Errorf("%.80q:\n got %s\nwant %s", in, got, want)
+		}
+	}
+}
+
+// Lines of an endless body come one by one; the half line that its end cut is dropped, a line without end ends it.
+func TestLines(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	read := func(in string) (got []string, err error) {
+		r := NewReader(strings.NewReader(in))
+		h, err := r.Answer()
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = r.Lines(h, 64, func(l []byte) error { got = append(got, string(l)); return nil })
+		return got, err
+	}
+	got, err := read(head + "5\r\na\nbc\n\r\n1\r\n\n\r\n3\r\ncut\r\n0\r\n\r\n")
+	if fmt.Sprintf("%q", got) != `["a\n" "bc\n" "\n"]` || err != io.EOF {
+		t.Errorf("%q %v", got, err)
+	}
+	if _, err = read(head + "50\r\n" + strings.Repeat("a", 80) + "\r\n"); show(err, nil) != "502: line of more than 64 bytes" {
+		t.Error(err)
+	}
+}
+
+// However a message is made, reading it is bounded, and what was read can be written and read again.
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte("PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte("PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nT: x\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := NewReader(bytes.NewReader(in))
+		h, err := r.Request()
+		if err != nil {
+			return
+		}
+		body, err := r.Body(h, 1<<10)
+		if err != nil {
+			return
+		}
+		if len(body) > 1<<10 || h.Times("Content-Length") > 0 && h.Times("Transfer-Encoding") > 0 {
+			t.Fatalf("%q passed with %d bytes", in, len(body))
+		}
+		b := AppendField([]byte(h.Method+" "+h.Target+" HTTP/1.1\r\n"), "Host", h.Get("Host"))
+		again := NewReader(bytes.NewReader(AppendEnd(b, body)))
+		h2, err := again.Request()
+		if err != nil || h2.Target != h.Target || h2.Get("Host") != h.Get("Host") {
+			t.Fatalf("%q: %v", b, err)
+		}
+		if body2, err := again.Body(h2, 1<<10); err != nil || !bytes.Equal(body, body2) || again.Buffered() != 0 {
+			t.Fatalf("%q: %q, %v", body, body2, err)
+		}
+	})
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := NewReader(bytes.NewReader(in))
+		if h, err := r.Answer(); err == nil {
+			if h.Status < 200 || h.Status > 999 {
+				t.Fatalf("status %d", h.Status)
+			}
+			if b, err := r.Body(h, 64); err == nil && len(b) > 64 {
+				t.Fatalf("%d bytes", len(b))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/conf/conf_test.go
@@ -0,0 +1,78 @@
+package conf
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+const whole = `{"name":"h1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+"limits":{"cores":0.25,"memory_mb":64,"sockets":256},
+"known":{"revision":41,"complete":true,"members":[
+{"id":"b1","host_port":"127.0.0.1:3","locality":"a","cell":3,"phase":"in_service","up_since_ms":1700000000000},
+{"id":"b2","host_port":"127.0.0.1:4","locality":"a","cell":4,"phase":"terminating","up_since_ms":0},
+{"id":"b3","phase":"terminated"}]},
+"settings":{"balancers":3,"limits":{"max_attempts":4,"conn_idle_us":30000000,"connect_timeout_us":250000,"retry_after":true,"max_retry_after_us":2000000},
+"classes":[{"name":"read","aim_us":500000,"give_up_us":3000000,"semantics":"repeatable"}],"plans":[{"name":"plain","never_over":2}]}}`
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Settings.Hosts != 3 || c.Settings.MaxPause != 2*time.Second || c.Idle != 30*time.Second || c.Limits.Sockets != 256 ||
+		uint64(c.Settings.Seed) != 0x8c1f30d27a5be964 {
+		t.Errorf("%+v", c)
+	}
+	l := c.Known
+	if l.Revision != 41 || !l.Whole || len(l.Lines) != 3 || l.Lines[0].Started != 1700000000*time.Second || !l.Lines[0].Serving ||
+		l.Lines[1].Serving || l.Lines[1].Gone || !l.Lines[2].Gone || l.Lines[1].Started != 0 {
+		t.Errorf("%+v", l)
+	}
+}
+
+// What is wrong is named.
+func TestBadConfiguration(t *testing.T) {
+	for _, x := range [][3]string{
+		{whole, "", "not JSON"},
+		{whole, "[]", "not an object"},
+		{`"127.0.0.1:1"`, `"nowhere"`, `listen: "nowhere"`},
+		{`"127.0.0.1:2"`, `""`, `discovery: ""`},
+		{`"cores":0.25`, `"cores":0`, "limits.cores"},
+		{`"memory_mb":64`, `"memory_mb":-1`, "limits.memory_mb"},
+		{`"sockets":256`, `"sockets":8`, "limits.sockets"},
+		{`"8c1f30d27a5be964"`, `"xyz"`, "seed"},
+		{`"in_service"`, `"asleep"`, `known: members[0].phase: unknown phase "asleep"`},
+		{`"cell":4`, `"cell":-4`, "known: members[1].cell"},
+		{`"127.0.0.1:3"`, `"b.example:3"`, "known: members[0].host_port"},
+		{`"repeatable"`, `"perhaps"`, "settings: class"},
+		{`"aim_us":500000`, `"aim_us":0`, "settings: classes[0]"},
+		{`"never_over":2`, `"never_over":-2`, "settings: plans[0]"},
+		{`"max_attempts":4`, `"max_attempts":0`, "settings: limits.max_attempts"},
+		{`"connect_timeout_us":250000`, `"connect_timeout_us":0`, "connect_timeout_us"},
+	} {
+		if _, err := Parse([]byte(strings.Replace(whole, x[0], x[1], 1))); err == nil || !strings.Contains(err.Error(), x[2]) {
+			t.Errorf("%s: %v, wanted %q", x[1], err, x[2])
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte(`{"revision":1,"members":[{"id":"a","host_port":"127.0.0.1:3","cell":1e3,"phase":"in_service"}]}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		if c, err := Parse(in); err == nil && (c.Limits.Sockets < MinSockets || len(c.Settings.Plans) == 0) {
+			t.Fatalf("%+v", c)
+		}
+		var p fastjson.Parser
+		if l, err := ParseList(&p, in); err == nil {
+			for _, b := range l.Lines {
+				if b.Name == "" || b.Started < 0 || !b.Gone && b.Cell < 0 {
+					t.Fatalf("%+v", b)
+				}
+			}
+		}
+	})
+}
--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -24,7 +24,7 @@
 	by      time.Time // the request being read must be whole
 	closing bool      // by the client's word
 
-	place   *list.Element // under front.mu: among those without a request
+	place   *list.Element // under front.mu: among those without a command
 	evicted bool          // under front.mu
 }
 
@@ -40,7 +40,7 @@
 	c.nc.SetReadDeadline(c.by)
 	for {
 		err := c.in.Await()
-		if !c.front.begin(c) || err != nil {
+		if !c.front.put(c, reading) || err != nil {
 			return
 		}
 		arrived := c.front.o.Loop.Now()
@@ -53,7 +53,9 @@
 		}
 		c.by = time.Time{}
 		c.nc.SetReadDeadline(time.Now().Add(quiet))
-		c.front.rest(c)
+		if !c.front.put(c, resting) {
+			return
+		}
 	}
 }
 
@@ -95,6 +97,9 @@
 // command hands a task to the loop and passes its answer on.
 func (c *conn) command(t *hostloop.Task, id string) bool {
 	f := c.front
+	if !f.put(c, none) {
+		return false
+	}
 	if !f.ids.take(id) {
 		return c.fault(&http1.Error{Status: 409, What: "the id is in use or was a moment ago"})
 	}
@@ -190,6 +195,7 @@
 	if t, ok := c.nc.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
+	c.front.put(c, parting)
 	c.nc.SetReadDeadline(time.Now().Add(linger))
 	io.Copy(io.Discard, io.LimitReader(c.nc, 1<<20))
 }
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -40,6 +40,15 @@
 	linger = 500 * time.Millisecond // what is still sent is read and dropped, so that the answer is not lost to a reset
 )
 
+// Places of connections that hold no command, in the order in which they make room.
+const (
+	parting = iota // their last answer is out
+	fresh          // without a request so far
+	resting        // between requests
+	reading        // a request is not whole yet
+	none    = -1
+)
+
 // Front is the clients' side of a host.
 type Front struct {
 	o      Options
@@ -53,8 +62,7 @@
 
 	mu     sync.Mutex
 	conns  map[*conn]bool
-	fresh  list.List // of *conn without a request so far, oldest first
-	served list.List // of *conn between requests, oldest first
+	places [4]list.List // of *conn that can be done without, by place, oldest first
 	counts Counts
 	told   time.Time // when refusals were logged
 	unsaid int
@@ -91,7 +99,7 @@
 }
 
 // Serve accepts until the listener is closed. It goes on accepting whatever is open already: room is made by closing
-// the connection that has been without a request for longest, those first that never had one.
+// a connection that holds no command.
 func (f *Front) Serve(l net.Listener) {
 	for {
 		nc, err := l.Accept()
@@ -114,7 +122,7 @@
 			continue
 		}
 		f.conns[c] = true
-		c.place = f.fresh.PushBack(c)
+		c.place = f.places[fresh].PushBack(c)
 		f.mu.Unlock()
 		f.wg.Add(1)
 		go func() {
@@ -132,13 +140,8 @@
 
 // evictOne closes the connection that can best be done without. Under mu.
 func (f *Front) evictOne() bool {
-	for _, l := range []*list.List{&f.fresh, &f.served} {
-		if e := l.Front(); e != nil {
-			c := e.Value.(*conn)
-			l.Remove(e)
-			c.place, c.evicted = nil, true
-			delete(f.conns, c)
-			c.nc.Close()
+	for i := range f.places {
+		if f.evictFrom(&f.places[i]) {
 			f.counts.Evicted++
 			return true
 		}
@@ -146,29 +149,42 @@
 	return false
 }
 
-// begin marks that a connection's request is being read; false: it was closed to make room.
-func (f *Front) begin(c *conn) bool {
+func (f *Front) evictFrom(l *list.List) bool {
+	e := l.Front()
+	if e == nil {
+		return false
+	}
+	c := e.Value.(*conn)
+	l.Remove(e)
+	c.place, c.evicted = nil, true
+	delete(f.conns, c)
+	c.nc.Close()
+	return true
+}
+
+// put marks what a connection does; none: it holds a command. false: it was closed to make room.
+func (f *Front) put(c *conn, place int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unplace(c)
-	return !c.evicted
+	if c.evicted {
+		return false
+	}
+	if place != none {
+		c.place = f.places[place].PushBack(c)
+	}
+	return true
 }
 
 func (f *Front) unplace(c *conn) {
 	if c.place != nil {
-		f.fresh.Remove(c.place) // a list ignores another's elements
-		f.served.Remove(c.place)
+		for i := range f.places {
+			f.places[i].Remove(c.place) // a list ignores another's elements
+		}
 		c.place = nil
 	}
 }
 
-// rest marks that a connection waits for its next request.
-func (f *Front) rest(c *conn) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c.place = f.served.PushBack(c)
-}
-
 func (f *Front) end(c *conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -207,10 +223,7 @@
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
 	for {
-		f.mu.Lock()
-		for f.evictOne() {
-		}
-		f.mu.Unlock()
+		f.clear()
 		select {
 		case <-done:
 			return
@@ -223,6 +236,16 @@
 	}
 }
 
+// clear closes connections between requests.
+func (f *Front) clear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.places[fresh].Len()+f.places[resting].Len() > 0 {
+		f.evictFrom(&f.places[fresh])
+		f.evictFrom(&f.places[resting])
+	}
+}
+
 // Close ends every connection at once.
 func (f *Front) Close() {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/platform/rig_test.go
@@ -0,0 +1,311 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"weirhaven/internal/hostloop"
+	"weirhaven/internal/http1"
+	"weirhaven/internal/platform/conf"
+	"weirhaven/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const ms = time.Millisecond
+
+// brick is a scripted brick: it notes what reaches it and does with each request what the test says.
+type brick struct {
+	l    net.Listener
+	wg   sync.WaitGroup
+	seen chan string                  // method, target, id and body
+	do   func(c net.Conn, n int) bool // the n-th request; false: the connection is done with
+	mu   sync.Mutex
+	n    int
+	open map[net.Conn]bool
+}
+
+func newBrick(t *testing.T, do func(c net.Conn, n int) bool) *brick {
+	b := &brick{l: listen(t), seen: make(chan string, 1000), do: do, open: map[net.Conn]bool{}}
+	b.wg.Add(1)
+	go func() {
+		defer b.wg.Done()
+		for {
+			c, err := b.l.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.open[c] = true
+			b.mu.Unlock()
+			b.wg.Add(1)
+			go b.serve(c)
+		}
+	}()
+	t.Cleanup(func() {
+		b.l.Close()
+		b.mu.Lock()
+		for c := range b.open {
+			c.Close()
+		}
+		b.mu.Unlock()
+		b.wg.Wait()
+	})
+	return b
+}
+
+func (b *brick) serve(c net.Conn) {
+	defer b.wg.Done()
+	defer c.Close()
+	r := http1.NewReader(c)
+	for r.Await() == nil {
+		h, err := r.Request()
+		if err != nil {
+			return
+		}
+		body, err := r.Body(h, 1<<20)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		n := b.n
+		b.n++
+		b.mu.Unlock()
+		b.seen <- fmt.Sprintf("%s %s %s %q", h.Method, h.Target, h.Get("X-Txn"), body)
+		if !b.do(c, n) {
+			return
+		}
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func say(c net.Conn, s string) bool { _, err := io.WriteString(c, s); return err == nil }
+
+func good(body string) string {
+	return string(http1.AppendEnd([]byte("HTTP/1.1 200 OK\r\n"), []byte(body)))
+}
+
+func answers(c net.Conn, n int) bool { return say(c, good(fmt.Sprint("answer ", n))) }
+
+// reset ends a connection so that the other side gets an error, not an end.
+func reset(c net.Conn) bool { c.(*net.TCPConn).SetLinger(0); return false }
+
+// agent tells lists to one watch after the other.
+type agent struct {
+	l     net.Listener
+	lines chan string
+	asked chan string
+	done  chan bool
+}
+
+func newAgent(t *testing.T) *agent {
+	a := &agent{l: listen(t), lines: make(chan string, 10), asked: make(chan string, 100), done: make(chan bool)}
+	go func() {
+		defer close(a.done)
+		for {
+			c, err := a.l.Accept()
+			if err != nil {
+				return
+			}
+			a.serve(c)
+		}
+	}()
+	t.Cleanup(a.close)
+	return a
+}
+
+func (a *agent) serve(c net.Conn) {
+	defer c.Close()
+	r := http1.NewReader(c)
+	if r.Await() != nil {
+		return
+	}
+	h, err := r.Request()
+	if err != nil {
+		return
+	}
+	a.asked <- h.Target
+	say(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+	gone := make(chan bool)
+	go func() {
+		defer close(gone)
+		r.Await()
+	}()
+	for {
+		select {
+		case l, ok := <-a.lines:
+			if !ok {
+				c.Close()
+				<-gone
+				return
+			}
+			say(c, fmt.Sprintf("%x\r\n%s\n\r\n", len(l)+1, l))
+		case <-gone:
+			return
+		}
+	}
+}
+
+func (a *agent) close() {
+	a.l.Close()
+	select {
+	case <-a.lines:
+	default:
+	}
+	defer func() { recover() }() // closed before
+	close(a.lines)
+	<-a.done
+}
+
+func (a *agent) tell(revision int, whole bool, bricks ...string) {
+	a.lines <- fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[%s]}`, revision, whole, strings.Join(bricks, ","))
+}
+
+func (b *brick) line(name string, cell int, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","cell":%d,"phase":%q,"up_since_ms":0}`, name, b.l.Addr(), cell, phase)
+}
+
+// watched is the module, with its dispatches' outcomes told to the test.
+type watched struct {
+	*policy.Instance
+	ended chan policy.Ending
+}
+
+func (w *watched) Ended(d *policy.Dispatch, how policy.Ending, took time.Duration, last bool, elsewhere, meter float64) {
+	w.ended <- how
+	w.Instance.Ended(d, how, took, last, elsewhere, meter)
+}
+
+// host is a host of the platform under test.
+type host struct {
+	t       *testing.T
+	address string
+	agent   *agent
+	ended   chan policy.Ending
+	reloads chan *conf.Config
+	config  *conf.Config
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func newHost(t *testing.T, bricks ...*brick) *host {
+	t.Parallel()
+	h := &host{t: t, agent: newAgent(t), ended: make(chan policy.Ending, 1000), reloads: make(chan *conf.Config), done: make(chan error, 1)}
+	h.config = &conf.Config{Name: "h", Listen: "127.0.0.1:0", Discovery: h.agent.l.Addr().String(), Connect: 250 * ms, Idle: 20 * time.Second,
+		Limits: conf.Limits{Cores: 2, MemoryMB: 64, Sockets: 64}, Known: conf.List{Revision: 7, Whole: true},
+		Settings: policy.Settings{Seed: 1, Hosts: 1, Cancel: true, MarksRepeat: true, MaxDispatch: 3, Resolution: 2 * ms, UsualUnits: 1,
+			UnitsTop: 8, MaxPause: time.Second, DrainGrace: 250 * ms,
+			QueueTypes: []policy.QueueType{
+				{Name: "read", ServiceTarget: 400 * ms, CommandTimeout: time.Second, Importance: 1},
+				{Name: "write", ServiceTarget: 400 * ms, CommandTimeout: time.Second, Importance: 1, Writes: true,
+					Semantics: policy.NonRetryable}},
+			Plans: []policy.Plan{{Name: "plain", Nominal: 10, Weight: 1, Importance: 1},
+				{Name: "capped", Nominal: 1, Limit: 1, Depth: 1, Slack: 1, Weight: 1, Importance: 1}}}}
+	for i, b := range bricks {
+		h.config.Known.Lines = append(h.config.Known.Lines, hostloop.BrickLine{Name: fmt.Sprint("b", i), Address: b.l.Addr().String(),
+			Cell: i, Serving: true})
+	}
+	up := make(chan net.Addr, 1)
+	run := &Host{Config: h.config, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Up: func(a net.Addr) { up <- a },
+		Start: func(p policy.Host, s policy.Settings) hostloop.Decider { return &watched{policy.New(p, s), h.ended} }}
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	go func() { h.done <- run.Run(ctx, h.reloads) }()
+	h.address = (<-up).String()
+	t.Cleanup(func() {
+		stop()
+		select {
+		case err := <-h.done:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(10 * time.Second):
+			t.Error("the host does not end")
+		}
+	})
+	return h
+}
+
+func (h *host) dial() net.Conn {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.address)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(8 * time.Second))
+	return c
+}
+
+// read and write are requests as the usual clients send them.
+func read(id string, more ...string) string {
+	return "GET /read/00000000000000aa/00000000000000bb HTTP/1.1\r\nHost: x\r\nX-Lane: read\r\nTier: plain\r\nX-Remaining-Ms: 1000\r\n" +
+		"IO-Info: units=1,shard=0,hosts=1\r\nX-Txn: " + id + "\r\n" + strings.Join(more, "") + "\r\n"
+}
+
+func write(id, body string) string {
+	r := strings.NewReplacer("GET /read", "PUT /write", "Lane: read", "Lane: write").Replace(read(id))
+	return strings.TrimSuffix(r, "\r\n") + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// ask sends and returns the answer's status and body; 0: the connection ended without one.
+func ask(c net.Conn, text string) (int, string) { say(c, text); return hear(c) }
+
+func hear(c net.Conn) (int, string) {
+	r := http1.NewReader(c)
+	if r.Await() != nil {
+		return 0, ""
+	}
+	h, err := r.Answer()
+	if err != nil {
+		return 0, ""
+	}
+	b, _ := r.Body(h, 1<<20)
+	return h.Status, string(b)
+}
+
+func want(t *testing.T, c net.Conn, text string, status int, body string) {
+	t.Helper()
+	if s, b := ask(c, text); s != status || b != body {
+		t.Errorf("%.60q: %d %q, wanted %d %q", text, s, b, status, body)
+	}
+}
+
+func (h *host) how(want ...policy.Ending) {
+	h.t.Helper()
+	for _, w := range want {
+		select {
+		case got := <-h.ended:
+			if got != w {
+				h.t.Errorf("a dispatch ended as %d, wanted %d", got, w)
+			}
+		case <-time.After(5 * time.Second):
+			h.t.Fatalf("no dispatch ended, wanted %d", w)
+		}
+	}
+}
+
+func (b *brick) nothing(t *testing.T) {
+	t.Helper()
+	select {
+	case s := <-b.seen:
+		t.Errorf("%s reached a brick", s)
+	default:
+	}
+}
