--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -116,6 +116,8 @@
 	Lead                                  []byte        // what its front wrote for the lines to bricks; not looked at here
 	Repeat                                bool
 	Body                                  []byte
+	// Release, where a line set it, is to be called once the answer's body is needed no more; whoever takes it clears it.
+	Release func()
 	// Answer is called once, from the loop. It must not block.
 	Answer func(Answer)
 	// Begun is called when a streamed answer begins; may be nil.
--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -22,7 +22,9 @@
 	in      *http1.Reader
 	answers chan hostloop.Answer
 	by      time.Time // the request being read must be whole
+	until   time.Time // the answer must be taken; zero: write from now
 	closing bool      // by the client's word
+	release func()    // of the answer's body; set in the loop before the answer is handed over
 
 	place   *list.Element // under front.mu: among those without a command
 	evicted bool          // under front.mu
@@ -104,6 +106,7 @@
 		return c.fault(&http1.Error{Status: 409, What: "the id is in use or was a moment ago"})
 	}
 	t.Answer = func(a hostloop.Answer) {
+		c.release, t.Release = t.Release, nil
 		c.answers <- a // takes one without waiting
 		c.nc.SetReadDeadline(longAgo)
 	}
@@ -120,7 +123,14 @@
 	}
 	err := c.in.Await()
 	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) { // gone, or bytes that belong to no request
-		f.o.Loop.Post(func(core *hostloop.Core) { core.Gone(t) })
+		told := make(chan bool)
+		if f.o.Loop.Post(func(core *hostloop.Core) { core.Gone(t); close(told) }) {
+			select {
+			case <-told: // from here on there is no answer, or it lies here
+				c.free()
+			case <-f.o.Loop.Done():
+			}
+		}
 		f.ids.free(id, true)
 		if err == nil {
 			return c.fault(&http1.Error{Status: 400, What: "bytes beyond the request"})
@@ -129,9 +139,19 @@
 	}
 	a := <-c.answers
 	f.ids.free(id, true)
+	defer c.free()
+	c.until = time.Now().Add(max(t.Arrived+t.Timeout-f.o.Loop.Now(), 0) + write)
 	return c.answer(a)
 }
 
+// free gives back what a line set aside for the answer's body.
+func (c *conn) free() {
+	if c.release != nil {
+		c.release()
+		c.release = nil
+	}
+}
+
 func (c *conn) answer(a hostloop.Answer) bool {
 	last := c.closing || c.front.ending.Load()
 	switch a.How {
@@ -166,7 +186,11 @@
 	if last {
 		b = http1.AppendField(b, "Connection", "close")
 	}
-	c.nc.SetWriteDeadline(time.Now().Add(write))
+	if c.until.IsZero() {
+		c.until = time.Now().Add(write)
+	}
+	c.nc.SetWriteDeadline(c.until)
+	c.until = time.Time{}
 	if _, err := c.nc.Write(http1.AppendEnd(b, body)); err != nil {
 		return false
 	}
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -22,6 +22,7 @@
 	Now() time.Duration
 	Offer(f func(*hostloop.Core)) bool
 	Post(f func(*hostloop.Core)) bool
+	Done() <-chan struct{}
 }
 
 // Options are what a front is made with.
@@ -36,7 +37,7 @@
 const (
 	whole  = 2 * time.Second        // from the accept, or a request's first byte, until it is there whole
 	quiet  = 10 * time.Second       // a served connection without a request
-	write  = 2 * time.Second        // until an answer is taken
+	write  = 2 * time.Second        // until an answer is taken, beyond its command timeout
 	linger = 500 * time.Millisecond // what is still sent is read and dropped, so that the answer is not lost to a reset
 )
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -83,6 +83,7 @@
 const (
 	aside       = 24
 	clientsPart = 0.55
+	bodiesPart  = 6 // of the memory, for answers on their way
 	loopQueue   = 4096
 )
 
@@ -107,7 +108,8 @@
 	usable := c.Limits.Sockets - aside
 	clients := int(float64(usable) * clientsPart)
 	h.loop = hostloop.NewLoop(loopQueue)
-	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: c.Connect, Idle: c.Idle / 2})
+	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: c.Connect, Idle: c.Idle / 2, Log: h.Log,
+		Bodies: int64(c.Limits.MemoryMB) << 20 / bodiesPart})
 	core := hostloop.New(c.Settings, decide.Rules{}, h.Start, ways{h}, nil, time.Second, h.loop.Now())
 	core.Told(true, c.Known.Lines)
 	inner, stopLoop := context.WithCancel(context.Background())
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -189,6 +189,23 @@
 	}
 }
 
+// Answers far longer than the platform's page says pass whole, and what is set aside for them is given back: also where
+// the client leaves as its answer comes.
+func TestLargeAnswers(t *testing.T) {
+	body := strings.Repeat("0123456789", 40000)
+	b := newBrick(t, func(c net.Conn, n int) bool { return say(c, good(body)) })
+	h := newHost(t, b)
+	c := h.dial()
+	for i := range 60 {
+		want(t, c, read(fmt.Sprint("a", i)), 200, body)
+		if gone := h.dial(); i%2 == 0 {
+			say(gone, read(fmt.Sprint("b", i)))
+			<-b.seen
+			gone.Close()
+		}
+	}
+}
+
 // Bytes after an answer: the answer stands, and what comes next goes on a new connection.
 func TestBytesAfterAnAnswer(t *testing.T) {
 	b := newBrick(t, func(c net.Conn, n int) bool { return say(c, good(fmt.Sprint("answer ", n))+good("a second copy")) })
--- a/internal/platform/pool/pool.go
+++ b/internal/platform/pool/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 
 	"math"
 	"net"
@@ -15,6 +16,8 @@
 
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/http1"
 	"weirhaven/policy"
@@ -30,11 +33,14 @@
 type Options struct {
 	Loop    Loop
 	Most    int           // connections at a time, to all bricks
+	Bodies  int64         // bytes of answers held at a time, until their clients have them; at least MaxBody
 	Connect time.Duration // until a connection is up
 	Idle    time.Duration // until one without a dispatch is closed here
+	Log     *slog.Logger
 }
 
-const maxBody = 64 << 10
+// MaxBody is the longest body of an answer. The platform's page says 64 KiB, its bricks answer with several times that.
+const MaxBody = 1 << 20
 
 // Counts are running totals.
 type Counts struct {
@@ -49,15 +55,18 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
+	bodies *semaphore.Weighted
 
 	mu     sync.Mutex // guards all below and in lines and conns
 	lines  map[*line]bool
 	counts Counts
+	told   time.Time // when answers that can't be read were logged
 }
 
 // New makes a pool without connections.
 func New(o Options) *Pool {
-	p := &Pool{o: o, dialer: net.Dialer{Timeout: o.Connect, KeepAlive: -1}, lines: map[*line]bool{}}
+	p := &Pool{o: o, dialer: net.Dialer{Timeout: o.Connect, KeepAlive: -1}, lines: map[*line]bool{},
+		bodies: semaphore.NewWeighted(max(o.Bodies, MaxBody))}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
 }
@@ -103,7 +112,9 @@
 // job is a dispatch until it is reported or given up.
 type job struct {
 	id    uint64
+	task  *hostloop.Task
 	bytes []byte
+	held  int64 // of the budget for bodies
 	until time.Time
 	ctx   context.Context // ends when it is given up
 	stop  context.CancelFunc
@@ -130,7 +141,7 @@
 	} else {
 		b = append(b, "\r\n"...)
 	}
-	j := &job{id: id, bytes: b, until: time.Now().Add(left)}
+	j := &job{id: id, task: t, bytes: b, until: time.Now().Add(left)}
 	j.ctx, j.stop = context.WithCancel(l.pool.ctx)
 	p := l.pool
 	p.mu.Lock()
@@ -266,8 +277,16 @@
 	l.forget()
 	p.mu.Unlock()
 	j.stop()
-	if mine {
-		p.o.Loop.Post(func(c *hostloop.Core) { c.OutcomeAt(at, l.brick, j.id, how, body, elsewhere, 0) })
+	release := func() { p.bodies.Release(j.held) }
+	if !mine || !p.o.Loop.Post(func(c *hostloop.Core) {
+		j.task.Release = release
+		c.OutcomeAt(at, l.brick, j.id, how, body, elsewhere, 0)
+		if j.task.Release != nil { // nobody takes the body
+			j.task.Release = nil
+			release()
+		}
+	}) {
+		release()
 	}
 }
 
@@ -310,13 +329,13 @@
 		c.line.report(j, now(), how, nil, 0)
 		return false
 	}
-	h, body, err := c.read()
+	h, body, err := c.read(j)
 	at := now()
 	if err != nil {
 		var spoilt *http1.Error
 		how := policy.Broken
 		if errors.As(err, &spoilt) {
-			c.count(&c.line.pool.counts.Spoilt)
+			c.spoilt(spoilt)
 			how = policy.Errored
 		}
 		c.line.report(j, at, how, nil, 0)
@@ -338,7 +357,7 @@
 	return good
 }
 
-func (c *conn) read() (*http1.Head, []byte, error) {
+func (c *conn) read(j *job) (*http1.Head, []byte, error) {
 	if err := c.in.Await(); err != nil {
 		return nil, nil, err
 	}
@@ -346,10 +365,32 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := c.in.Body(h, maxBody)
+	n := h.Length
+	if n == http1.Chunked {
+		n = MaxBody
+	}
+	if n > 0 && n <= MaxBody { // else no body is read
+		if err := c.line.pool.bodies.Acquire(j.ctx, n); err != nil {
+			return nil, nil, err
+		}
+		j.held = n
+	}
+	body, err := c.in.Body(h, MaxBody)
 	return h, body, err
 }
 
+// spoilt counts an answer that can't be read, and now and then says why.
+func (c *conn) spoilt(why error) {
+	p := c.line.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Spoilt++
+	if now := time.Now(); now.Sub(p.told) >= time.Second {
+		p.told = now
+		p.o.Log.Info("an answer that can't be read", "brick", c.line.brick, "why", why, "so far", p.counts.Spoilt)
+	}
+}
+
 func (c *conn) count(n *int64) {
 	c.line.pool.mu.Lock()
 	defer c.line.pool.mu.Unlock()
