--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -136,6 +136,7 @@
 	Held                                          int // commands without a final answer
 	Out                                           int // dispatches without an outcome
 	Timers                                        int
+	Ended                                         [policy.Unsent + 1]int64 // dispatches, by how
 }
 
 type command struct {
@@ -449,6 +450,7 @@
 	d.over = true
 	delete(c.dispatches, d.id)
 	c.counts.Out--
+	c.counts.Ended[how]++
 	x.outs = slices.DeleteFunc(x.outs, func(o *dispatch) bool { return o == d })
 	if x.past != nil {
 		x.past.Tries[d.try].Took, x.past.Tries[d.try].How = at-d.at, how
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -208,7 +208,8 @@
 	cpu := time.Duration(use.Utime.Nano() + use.Stime.Nano())
 	b, a := h.pool.Counts(), f.Counts()
 	h.Log.Info("state", "taken", n.Taken, "completed", n.Completed, "busy-replied", n.BusyReplied, "aborted", n.Aborted, "left", n.Left,
-		"held", n.Held, "out", n.Out, "dispatches", n.Dispatches, "further", n.Further, "late", n.Late, "lag", lag, "cpu", cpu,
+		"held", n.Held, "out", n.Out, "dispatches", n.Dispatches, "further", n.Further, "late", n.Late,
+		"completed/errored/turned/timed out/not connected/broken/called off/unsent", fmt.Sprint(n.Ended), "lag", lag, "cpu", cpu,
 		"heap", m.HeapAlloc, "sys", m.Sys, "goroutines", runtime.NumGoroutine(), "clients", a.Open, "accepted", a.Accepted,
 		"evicted", a.Evicted, "turned", a.Turned, "refused", a.Refused, "full", a.Full, "to bricks", b.Open, "opened", b.Opened,
 		"stale", b.Stale, "spoilt", b.Spoilt, "extra", b.Extra, "exhausted", b.Exhausted)
