--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,9 +171,9 @@
 	}
 	c.lane.count(now, c.units)
 	in.hold(c)
-	// What was sent nowhere when its service target passes, or by half of its time, is given up then. Guards the
-	// connection that each held command takes, and clients, who have time left to ask again. It hurts where a brick
-	// that frees late would still do it.
+	// What was sent nowhere when its service target passes, or by half of its time, is given up then. Guards
+	// the connection that each held command takes, and clients, who have time left to ask again. It hurts where
+	// a brick that frees late would still do it.
 	in.host.After(min(max(c.target-now, in.lc), (giveUp-now)/2)-in.early, func() {
 		if !c.over && len(c.dispatches) == 0 {
 			in.giveUp(c)
@@ -269,9 +269,10 @@
 	if len(c.dispatches) == 0 {
 		return true
 	}
-	if c.out > 0 || len(c.dispatches) >= in.maxDispatches || b.strikes > 0 {
-		return false
-	}
+	return c.out == 0 && len(c.dispatches) < in.maxDispatches && b.strikes == 0 && in.affords(now)
+}
+
+func (in *Instance) affords(now time.Duration) bool {
 	if !in.budgeted {
 		return true
 	}
@@ -300,9 +301,14 @@
 		c.queue.work += math.Min(0.1*more, 0.005*more)
 		in.pace(d, took-time.Duration(c.queue.work*c.units*float64(time.Second)))
 		b.lat += time.Duration(0.1 * float64(took-b.lat))
-		c.Volume.served += c.units
+		if c.Volume.served += c.units; !in.watches && took <= 2*in.lc {
+			in.callLost(b, d.sent)
+		}
 		c.queue.cost += 0.02 * (took.Seconds()/c.units - c.queue.cost)
 	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
+		if d.lost && !in.watches { // but for what the brick has long done
+			break
+		}
 		b.sum += took
 		b.answers++
 		if took > in.lc && !d.lost {
@@ -425,18 +431,24 @@
 			in.host.Tell(-1, append([]byte{'f'}, b.Name...))
 			in.free(b)
 		}
-		for _, d := range b.flying {
-			if c := d.Cmd; in.cancels && !d.lost && !c.over && !c.streaming && in.overdue(d, b.probe.sent) &&
-				len(c.dispatches) < in.maxDispatches && in.mayRun(c, b, in.host.Now()) {
-				d.lost = true
-				in.host.Cancel(d)
-			}
-		}
+		in.callLost(b, b.probe.sent)
 	case b.watched || in.host.Now() >= b.stuck && (how == TimedOut || how == Completed && took > in.shortest):
 		in.watch(b)
 	}
 }
 
+// callLost calls off what was overdue at a brick when something was sent there and was answered quickly:
+// its answer was lost, or its connection fell silent. Guards the place that it holds, and the command.
+func (in *Instance) callLost(b *Brick, since time.Duration) {
+	for _, d := range slices.Clone(b.flying) {
+		if c := d.Cmd; in.cancels && !d.lost && !c.over && !c.streaming && in.overdue(d, since) &&
+			len(c.dispatches) < in.maxDispatches && in.mayRun(c, b, in.host.Now()) && in.affords(in.host.Now()) {
+			d.lost = true
+			in.host.Cancel(d)
+		}
+	}
+}
+
 // Heard is what another host found: a brick is stuck, or free again. Of two that watch the first goes on.
 func (in *Instance) Heard(sender int, data []byte) {
 	for _, b := range in.bricks {
@@ -469,6 +481,10 @@
 	if !b.open || in.host.Now() < b.stuck {
 		return 0
 	}
+	if in.cancels && !in.watches && b.out >= b.window &&
+		!slices.ContainsFunc(b.flying, func(d *Dispatch) bool { return !in.overdue(d, in.host.Now()) }) {
+		return 1 // no probe may be sent: a command shows whether what is out was lost, or the brick is stuck
+	}
 	return b.window - b.out
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -118,6 +118,7 @@
 	//     0ms dispatch 1.0 to a
 	//     0ms dispatch 3.0 to a
 	//     0ms log: suspect a: full or not reached after 0s, 1 out
+	//   300ms dispatch 2.0 to a
 }
 
 // The limit's store of this host starts with its part of the slack and fills at its part of the rate.
