--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -131,7 +131,7 @@
 	spawn(func() { f.Serve(l) })
 	f.Ready()
 	h.Log.Info("serving", "name", c.Name, "clients", l.Addr().String(), "discovery", c.Discovery, "bricks", len(c.Known.Lines),
-		"revision", c.Known.Revision, "cores", c.Limits.Cores, "memory MB", c.Limits.MemoryMB, "connections of clients", clients,
+		"revision", c.Known.Revision, "cores", c.Limits.Cores, "idle", c.Idle, "connect", c.Connect, "memory MB", c.Limits.MemoryMB, "connections of clients", clients,
 		"of bricks", usable-clients)
 	if h.Up != nil {
 		h.Up(l.Addr())
--- a/internal/platform/pool/park.go
+++ b/internal/platform/pool/park.go
@@ -13,9 +13,9 @@
 // finds it there. It tells whether the connection is kept.
 func (c *conn) rest() bool {
 	p := c.line.pool
-	c.nc.SetDeadline(time.Now().Add(p.o.Idle))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.nc.SetDeadline(time.Now().Add(p.life.Most()))
 	if c.dead || c.line.closed || p.ctx.Err() != nil {
 		return false
 	}
--- a/internal/platform/pool/pool.go
+++ b/internal/platform/pool/pool.go
@@ -20,6 +20,7 @@
 
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/http1"
+	"weirhaven/internal/platform/pool/idle"
 	"weirhaven/policy"
 )
 
@@ -60,13 +61,14 @@
 	mu     sync.Mutex // guards all below and in lines and conns
 	lines  map[*line]bool
 	counts Counts
+	life   *idle.Life
 	told   time.Time // when answers that can't be read were logged
 }
 
 // New makes a pool without connections.
 func New(o Options) *Pool {
 	p := &Pool{o: o, dialer: net.Dialer{Timeout: o.Connect, KeepAlive: -1}, lines: map[*line]bool{},
-		bodies: semaphore.NewWeighted(max(o.Bodies, MaxBody))}
+		life: idle.New(o.Idle), bodies: semaphore.NewWeighted(max(o.Bodies, MaxBody))}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
 }
@@ -126,9 +128,10 @@
 	line  *line
 	nc    net.Conn // nil: not up yet
 	in    *http1.Reader
-	next  *job      // handed over while it was idle
-	dead  bool      // closed, or about to be
-	since time.Time // idle
+	next  *job          // handed over while it was idle
+	dead  bool          // closed, or about to be
+	since time.Time     // idle; zero: not used yet
+	lay   time.Duration // idle before the dispatch that is out
 }
 
 // Dispatch puts a command on the connection used last, or on a new one.
@@ -153,8 +156,12 @@
 
 // place finds a connection for a job of which nothing was sent. Under mu.
 func (l *line) place(j *job) {
+	if n := len(l.idle); n > 0 && time.Since(l.idle[n-1].since) > l.pool.life.Most() {
+		l.shut() // the others have lain there for longer
+	}
 	if n := len(l.idle); n > 0 {
 		c := l.idle[n-1]
+		c.lay = time.Since(c.since)
 		l.idle = l.idle[:n-1]
 		c.next, j.conn = j, c
 		c.nc.SetReadDeadline(longAgo) // wakes its goroutine
@@ -326,6 +333,7 @@
 		if n >= len(j.bytes) {
 			how = policy.Broken
 		}
+		c.learn(j, true)
 		c.line.report(j, now(), how, nil, 0)
 		return false
 	}
@@ -338,9 +346,11 @@
 			c.spoilt(spoilt)
 			how = policy.Errored
 		}
+		c.learn(j, how == policy.Broken)
 		c.line.report(j, at, how, nil, 0)
 		return false
 	}
+	c.learn(j, false)
 	good := !h.Close && c.in.Buffered() == 0 // what stands after an answer belongs to no dispatch
 	if c.in.Buffered() > 0 {
 		c.count(&c.line.pool.counts.Extra)
@@ -379,6 +389,21 @@
 	return h, body, err
 }
 
+// learn tells what the connection's use shows of how long one may lie idle.
+func (c *conn) learn(j *job, broke bool) {
+	p := c.line.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.line.out[j.id] != j { // given up here
+		return
+	}
+	if c.since.IsZero() {
+		p.life.First(broke, p.o.Loop.Now())
+	} else if p.life.Next(c.lay, broke, p.o.Loop.Now()) {
+		p.o.Log.Info("connections to bricks may lie idle for another time now", "most", p.life.Most())
+	}
+}
+
 // spoilt counts an answer that can't be read, and now and then says why.
 func (c *conn) spoilt(why error) {
 	p := c.line.pool
