What is overtaken holds no place, and is called off only by half of its time

Change: callLost frees the place at once, calls off only by half of the command's time where no probe showed the loss; what was overtaken feeds neither window nor gap.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -292,9 +292,13 @@
 	if c.key != nil && (how == TimedOut || how == Broken || how == CalledOff) {
 		c.key.rest = max(c.key.rest, now+in.keyRest)
 	}
-	switch how { // only work done feeds Lat: fast failures would widen a dying brick's window
-	case Completed:
-		b.strikes, b.breaks, d.done = 0, 0, true
+	if d.done = how == Completed; d.lost && d.done && !in.watches {
+		c.Volume.served += c.units
+	}
+	switch { // only work done feeds Lat: fast failures would widen a dying brick's window
+	case d.lost && !in.watches: // what overtook it told of the brick
+	case how == Completed:
+		b.strikes, b.breaks = 0, 0
 		b.sum += took
 		b.answers++
 		more := took.Seconds()/c.units - c.queue.work // own work a unit: the least twentieth of what answers took
@@ -305,10 +309,7 @@
 			in.callLost(b, d.sent)
 		}
 		c.queue.cost += 0.02 * (took.Seconds()/c.units - c.queue.cost)
-	case TimedOut, CalledOff: // the brick still holds that work: an unfed stall would leave the window wide
-		if d.lost && !in.watches { // but for what the brick has long done
-			break
-		}
+	case how == TimedOut || how == CalledOff: // the brick still holds it: unfed, the window would stay wide
 		b.sum += took
 		b.answers++
 		if took > in.lc && !d.lost {
@@ -318,7 +319,7 @@
 		if !in.watches {
 			in.pace(d, 2*took)
 		}
-	case Turned, Unconnected, Broken:
+	case how == Turned || how == Unconnected || how == Broken:
 		if b.breaks++; how == Broken && b.breaks == 1 { // one connection may break anywhere on the way
 			break
 		}
@@ -440,13 +441,20 @@
 	}
 }
 
-// callLost calls off what was overdue at a brick when something was sent there and was answered quickly:
-// its answer was lost, or its connection fell silent. Guards the place that it holds, and the command.
+// callLost finds what was overdue at a brick when something was sent there and was answered quickly: its
+// answer was lost, its connection fell silent, or it alone is slow. It holds no place any more; it is called
+// off at once where a probe showed it, else by half of its time, since one that is slow would be done twice.
 func (in *Instance) callLost(b *Brick, since time.Duration) {
+	now := in.host.Now()
 	for _, d := range slices.Clone(b.flying) {
-		if c := d.Cmd; in.cancels && !d.lost && !c.over && !c.streaming && in.overdue(d, since) &&
-			len(c.dispatches) < in.maxDispatches && in.mayRun(c, b, in.host.Now()) && in.affords(in.host.Now()) {
-			d.lost = true
+		c := d.Cmd
+		if !in.cancels || d.called || c.over || c.streaming || !in.overdue(d, since) {
+			continue
+		}
+		d.lost = d.lost || !in.watches
+		if (in.watches || now-c.taken >= c.giveUp-now) && len(c.dispatches) < in.maxDispatches &&
+			in.mayRun(c, b, now) && in.affords(now) {
+			d.lost, d.called = true, true
 			in.host.Cancel(d)
 		}
 	}
@@ -484,11 +492,17 @@
 	if !b.open || in.host.Now() < b.stuck {
 		return 0
 	}
-	if in.cancels && !in.watches && b.out >= b.window &&
-		!slices.ContainsFunc(b.flying, func(d *Dispatch) bool { return !in.overdue(d, in.host.Now()) }) {
-		return 1 // no probe may be sent: a command shows whether what is out was lost, or the brick is stuck
+	free, late := b.window-b.out, true
+	for _, d := range b.flying {
+		if d.lost && !in.watches {
+			free++
+		}
+		late = late && in.overdue(d, in.host.Now())
+	}
+	if in.cancels && !in.watches && late {
+		return max(free, 1) // where no probe may be sent, a command shows whether what is out was lost
 	}
-	return b.window - b.out
+	return free
 }
 
 func (in *Instance) fill(b *Brick) {
@@ -696,7 +710,7 @@
 // resize moves a brick's window by its latency.
 func (in *Instance) resize(b *Brick, now time.Duration) {
 	for _, d := range b.flying {
-		if age := now - d.sent; age > in.lc {
+		if age := now - d.sent; age > in.lc && (!d.lost || in.watches) {
 			b.sum += age
 			b.answers++
 			if !in.watches {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -106,8 +106,8 @@
 	// 1 0 0
 }
 
-// Where no probe may be sent, a brick full of what is overdue gets one command more; once that is answered quickly, what
-// was overdue is called off as lost and sent again.
+// Where no probe may be sent, a brick full of what is overdue gets one command more. Once that is answered quickly, what
+// was overdue holds no place; it is called off as lost and sent again only when half of its time has passed.
 func Example_silent() {
 	b := start(setting(), "a")
 	b.in.bricks[0].window = 1
@@ -118,12 +118,20 @@
 	b.out = b.out[1:]
 	b.run(20 * ms)
 	b.end(Completed, true)
+	b.take("read", "plain", "w", 0, 2)
+	b.run(220 * ms)
+	b.end(Completed, true)
+	b.take("read", "plain", "z", 0, 2)
+	b.run(20 * ms)
+	b.end(Completed, true)
 	b.in.Ended(lost, CalledOff, b.now, false, 0, 0)
 	// Output:
 	//     0ms dispatch 1.0 to a
 	//   270ms dispatch 2.0 to a
-	//   290ms cancel 1.0
-	//   290ms dispatch 1.1 to a
+	//   290ms dispatch 3.0 to a
+	//   510ms dispatch 4.0 to a
+	//   530ms cancel 1.0
+	//   530ms dispatch 1.1 to a
 }
 
 // One connection that breaks says nothing of its brick; a second one in a row does.
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,11 +21,12 @@
 
 // Dispatch is one try of a command at a brick.
 type Dispatch struct {
-	done  bool // completed
-	lost  bool // its answer, as a quick probe showed
-	Cmd   *Command
-	Brick *Brick
-	N     int
+	done   bool // completed
+	lost   bool // its answer, as a quick probe or what overtook it showed
+	called bool // off as lost
+	Cmd    *Command
+	Brick  *Brick
+	N      int
 
 	sent time.Duration
 	gap  time.Duration // the brick's when it was sent
