--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -337,7 +337,10 @@
 	at := b.accept()
 	old := at.read(t).ID
 	at.Close()
-	want(t, c.read(t), lineproto.Busy, 1) // no credit is left there, so it is not sent again
+	at = b.accept() // one broken connection says little: it is sent again
+	at.read(t)
+	at.Close()
+	want(t, c.read(t), lineproto.Busy, 1) // no credit is left there, so it is not sent once more
 	c.run(2, "post")
 	at = b.accept()
 	id := at.read(t).ID
