--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -321,7 +321,7 @@
 func AppendField(b []byte, name, value string) []byte {
 	b = append(append(b, name...), ": "...)
 	for i := range len(value) {
-		if c := value[i]; c >= ' ' && c != 0x7f {
+		if c := value[i]; c >= ' ' && c != 0x7f || c == '\t' {
 			b = append(b, c)
 		}
 	}
