--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -27,6 +27,7 @@
 	release func()    // of the answer's body; set in the loop before the answer is handed over
 
 	place   *list.Element // under front.mu: among those without a command
+	since   time.Time     // when it came there
 	evicted bool          // under front.mu
 }
 
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -41,7 +41,7 @@
 	linger = 500 * time.Millisecond // what is still sent is read and dropped, so that the answer is not lost to a reset
 )
 
-// Places of connections that hold no command, in the order in which they make room.
+// Places of connections that hold no command.
 const (
 	parting = iota // their last answer is out
 	fresh          // without a request so far
@@ -50,6 +50,14 @@
 	none    = -1
 )
 
+// toll is the order in which they make room, each from an age on: a usual client asks as soon as it has connected, so one
+// that just came goes after those that have nothing to say.
+var toll = []struct {
+	place int
+	age   time.Duration
+}{{parting, 0}, {resting, 2 * time.Second}, {fresh, 500 * time.Millisecond}, {reading, time.Second}, {resting, 0}, {fresh, 0},
+	{reading, 0}}
+
 // Front is the clients' side of a host.
 type Front struct {
 	o      Options
@@ -123,7 +131,7 @@
 			continue
 		}
 		f.conns[c] = true
-		c.place = f.places[fresh].PushBack(c)
+		c.place, c.since = f.places[fresh].PushBack(c), time.Now()
 		f.mu.Unlock()
 		f.wg.Add(1)
 		go func() {
@@ -141,8 +149,8 @@
 
 // evictOne closes the connection that can best be done without. Under mu.
 func (f *Front) evictOne() bool {
-	for i := range f.places {
-		if f.evictFrom(&f.places[i]) {
+	for _, t := range toll {
+		if f.evictFrom(&f.places[t.place], t.age) {
 			f.counts.Evicted++
 			return true
 		}
@@ -150,12 +158,15 @@
 	return false
 }
 
-func (f *Front) evictFrom(l *list.List) bool {
+func (f *Front) evictFrom(l *list.List, age time.Duration) bool {
 	e := l.Front()
 	if e == nil {
 		return false
 	}
 	c := e.Value.(*conn)
+	if age > 0 && time.Since(c.since) < age {
+		return false
+	}
 	l.Remove(e)
 	c.place, c.evicted = nil, true
 	delete(f.conns, c)
@@ -172,7 +183,7 @@
 		return false
 	}
 	if place != none {
-		c.place = f.places[place].PushBack(c)
+		c.place, c.since = f.places[place].PushBack(c), time.Now()
 	}
 	return true
 }
@@ -242,8 +253,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for f.places[fresh].Len()+f.places[resting].Len() > 0 {
-		f.evictFrom(&f.places[fresh])
-		f.evictFrom(&f.places[resting])
+		f.evictFrom(&f.places[fresh], 0)
+		f.evictFrom(&f.places[resting], 0)
 	}
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -145,6 +145,19 @@
 	}
 }
 
+// A client that has just connected is not the one that makes room, while others have had their answer and stay.
+func TestJustConnected(t *testing.T) {
+	b := newBrick(t, answers)
+	h := newHost(t, b)
+	for i := range 21 {
+		want(t, h.dial(), read(fmt.Sprint("a", i)), 200, fmt.Sprint("answer ", i))
+	}
+	just := h.dial()
+	want(t, h.dial(), read("b"), 200, "answer 21")
+	want(t, h.dial(), read("c"), 200, "answer 22")
+	want(t, just, read("d"), 200, "answer 23")
+}
+
 // A client that goes away while its command waits is noticed: its dispatch is called off.
 func TestClientGone(t *testing.T) {
 	b := newBrick(t, func(c net.Conn, n int) bool { _, err := c.Read(make([]byte, 1)); return err == nil })
@@ -198,7 +211,8 @@
 	c := h.dial()
 	for i := range 60 {
 		want(t, c, read(fmt.Sprint("a", i)), 200, body)
-		if gone := h.dial(); i%2 == 0 {
+		if i%2 == 0 {
+			gone := h.dial()
 			say(gone, read(fmt.Sprint("b", i)))
 			<-b.seen
 			gone.Close()
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -283,7 +283,7 @@
 func want(t *testing.T, c net.Conn, text string, status int, body string) {
 	t.Helper()
 	if s, b := ask(c, text); s != status || b != body {
-		t.Errorf("%.60q: %d %q, wanted %d %q", text, s, b, status, body)
+		t.Errorf("%.60q: %d %.40q, wanted %d %.40q", text, s, b, status, body)
 	}
 }
 
