--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -108,7 +108,11 @@
 	usable := c.Limits.Sockets - aside
 	clients := int(float64(usable) * clientsPart)
 	h.loop = hostloop.NewLoop(loopQueue)
-	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: c.Connect, Idle: c.Idle / 2, Log: h.Log,
+	connect := c.Connect
+	if c.Settings.DrainGrace > 0 { // a drain may be told while a dispatch waits for its connection
+		connect = min(connect, c.Settings.DrainGrace)
+	}
+	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: connect, Idle: c.Idle / 2, Log: h.Log,
 		Bodies: int64(c.Limits.MemoryMB) << 20 / bodiesPart})
 	core := hostloop.New(c.Settings, decide.Rules{}, h.Start, ways{h}, nil, time.Second, h.loop.Now())
 	core.Told(true, c.Known.Lines)
