--- /dev/null
+++ b/internal/platform/buffers_test.go
@@ -0,0 +1,88 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"weirhaven/policy"
+)
+
+// A write that fails after some bytes and before its last: the brick never had the whole dispatch, so it never ran and
+// a non-retryable command is busy-replied.
+func TestWriteCut(t *testing.T) {
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1) })
+	}}
+	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 1))
+			reset(c)
+			c.Close()
+		}
+	}()
+	t.Cleanup(func() { l.Close(); <-done })
+	h := newHost(t, &brick{l: l})
+	if s, _ := ask(h.dial(), write("a1", strings.Repeat("x", 64<<10))); s != 503 {
+		t.Errorf("%d, wanted 503", s)
+	}
+	h.how(policy.Unconnected)
+}
+
+// A drain told while a dispatch waits for a connection that does not come up: it waits no longer than the grace, and
+// nothing of it ever leaves.
+func TestDrainWhileConnecting(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, _ := syscall.Getsockname(fd)
+	address := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}
+	for range 4 { // nobody accepts: the queue is full after one or two
+		c, err := net.DialTimeout("tcp", address.String(), 100*ms)
+		if err == nil {
+			defer c.Close()
+		}
+	}
+	h := newHost(t, &brick{l: addressed{address}})
+	c := h.dial()
+	say(c, read("a1"))
+	began := time.Now()
+	<-h.agent.asked
+	h.agent.lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[{"id":"b0","host_port":%q,"cell":0,"phase":"terminating"}]}`, address)
+	h.how(policy.Unconnected)
+	if d := time.Since(began); d > 700*ms {
+		t.Errorf("it waited for %v, the grace is 250 ms and a connection may take 2 s", d)
+	}
+	if s, _ := hear(c); s != 503 {
+		t.Errorf("%d, wanted 503", s)
+	}
+}
+
+// addressed is a listener of which only the address counts.
+type addressed struct{ a net.Addr }
+
+func (a addressed) Accept() (net.Conn, error) { return nil, net.ErrClosed }
+func (a addressed) Close() error              { return nil }
+func (a addressed) Addr() net.Addr            { return a.a }
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -207,7 +207,7 @@
 func newHost(t *testing.T, bricks ...*brick) *host {
 	t.Parallel()
 	h := &host{t: t, agent: newAgent(t), ended: make(chan policy.Ending, 1000), reloads: make(chan *conf.Config), done: make(chan error, 1)}
-	h.config = &conf.Config{Name: "h", Listen: "127.0.0.1:0", Discovery: h.agent.l.Addr().String(), Connect: 250 * ms, Idle: 20 * time.Second,
+	h.config = &conf.Config{Name: "h", Listen: "127.0.0.1:0", Discovery: h.agent.l.Addr().String(), Connect: 2 * time.Second, Idle: 20 * time.Second,
 		Limits: conf.Limits{Cores: 2, MemoryMB: 64, Sockets: 64}, Known: conf.List{Revision: 7, Whole: true},
 		Settings: policy.Settings{Seed: 1, Hosts: 1, Cancel: true, MarksRepeat: true, MaxDispatch: 3, Resolution: 2 * ms, UsualUnits: 1,
 			UnitsTop: 8, MaxPause: time.Second, DrainGrace: 250 * ms,
