--- a/internal/platform/buffers_test.go
+++ b/internal/platform/buffers_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"weirhaven/internal/fleet/decide"
+	"weirhaven/internal/hostloop"
+	"weirhaven/internal/platform/pool"
 	"weirhaven/policy"
 )
 
@@ -37,10 +40,26 @@
 	}()
 	t.Cleanup(func() { l.Close(); <-done })
 	h := newHost(t, &brick{l: l})
-	if s, _ := ask(h.dial(), write("a1", strings.Repeat("x", 64<<10))); s != 503 {
-		t.Errorf("%d, wanted 503", s)
-	}
+	loop := hostloop.NewLoop(10)
+	p := pool.New(pool.Options{Loop: loop, Most: 4, Connect: time.Second, Idle: time.Second, Log: slog.New(slog.DiscardHandler)})
+	core := hostloop.New(h.config.Settings, decide.Rules{}, func(p policy.Host, s policy.Settings) hostloop.Decider {
+		return &watched{policy.New(p, s), h.ended}
+	}, ways{&Host{pool: p, Log: slog.New(slog.DiscardHandler)}}, nil, time.Second, loop.Now())
+	ctx, stop := context.WithCancel(context.Background())
+	go loop.Run(ctx, core)
+	answered := make(chan hostloop.Answer, 1)
+	loop.Post(func(c *hostloop.Core) {
+		c.Told(true, h.config.Known.Lines)
+		c.Take(&hostloop.Task{Volume: "v", Plan: "plain", Hosts: 1, QueueType: "write", Units: 1, Lead: []byte("PUT / HTTP/1.1\r\n"),
+			Body: make([]byte, 16<<20), Answer: func(a hostloop.Answer) { answered <- a }}) // more than all buffers between hold
+	})
 	h.how(policy.Unconnected)
+	if a := <-answered; a.How != hostloop.BusyReplied {
+		t.Errorf("%v, wanted a busy reply", a.How)
+	}
+	stop()
+	<-loop.Done()
+	p.Close()
 }
 
 // A drain told while a dispatch waits for a connection that does not come up: it waits no longer than the grace, and
