--- a/internal/brickconn/brickconn.go
+++ b/internal/brickconn/brickconn.go
@@ -162,6 +162,9 @@
 	l.current()
 }
 
+// Withdraw takes nothing back: what is handed over here is on its way.
+func (l *line) Withdraw(uint64) bool { return false }
+
 // Forget tells that the loop waits no longer for the answer.
 func (l *line) Forget(id uint64) {
 	l.mu.Lock()
--- a/internal/capacity/forecast/forecast.go
+++ b/internal/capacity/forecast/forecast.go
@@ -866,9 +866,10 @@
 	}
 }
 
-func (l *line) Forget(uint64) {}
-func (l *line) CloseIdle()    {}
-func (l *line) Close()        {}
+func (l *line) Withdraw(uint64) bool { return false }
+func (l *line) Forget(uint64)        {}
+func (l *line) CloseIdle()           {}
+func (l *line) Close()               {}
 
 func (h *host) Watch(bool) {}
 func (h *host) ListAll() {
--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -39,8 +39,9 @@
 type Line interface {
 	Dispatch(id uint64, t *Task, n int, left time.Duration)
 	Cancel(id uint64)
-	Greet()           // hear the brick's own word, on a new connection if need be
-	Forget(id uint64) // its time ran out: no answer is waited for
+	Withdraw(id uint64) bool // true: no byte of the dispatch was written, and none ever will be
+	Greet()                  // hear the brick's own word, on a new connection if need be
+	Forget(id uint64)        // its time ran out: no answer is waited for
 	Probe(id uint64)
 	CloseIdle()
 	Close()
@@ -123,7 +124,8 @@
 	// Begun is called when a streamed answer begins; may be nil.
 	Begun func()
 
-	cmd *command
+	cmd  *command
+	gone bool // its client went away before the loop's turn
 }
 
 // VolumeOf tells the plan of a volume and through how many hosts it works; ok is false for a volume nobody knows.
@@ -304,6 +306,9 @@
 
 // Take hands a command to the module. A command that can't be handed over is aborted at once.
 func (c *Core) Take(t *Task) {
+	if t.gone {
+		return
+	}
 	plan, hosts, key := t.Plan, t.Hosts, t.Volume+" "+t.Plan // a wrong plan must not bind a volume for others
 	if c.volumeOf != nil {
 		var ok bool
@@ -351,12 +356,17 @@
 	c.settle()
 }
 
-// Gone tells that the client of a command went away: nothing is owed any more.
+// Gone tells that the client of a command went away: nothing is owed any more, and nothing is begun for it. It may come
+// before Take.
 func (c *Core) Gone(t *Task) {
+	t.gone = true
 	x := t.cmd
 	if x == nil || x.over {
 		return
 	}
+	for _, d := range slices.Clone(x.outs) {
+		c.withdraw(d)
+	}
 	x.over = true
 	if x.past != nil {
 		x.past.How, x.past.Took = LeftBy, c.now-x.past.At
@@ -368,6 +378,13 @@
 	c.settle()
 }
 
+// withdraw ends a dispatch as unsent if nothing of it has left.
+func (c *Core) withdraw(d *dispatch) {
+	if !d.over && d.to != nil && d.to.line != nil && d.to.line.Withdraw(d.id) {
+		c.later = append(c.later, func() { c.ended(d, c.now, policy.Unsent, nil, 0, 0) })
+	}
+}
+
 // answer is the one place where a final answer goes out.
 func (c *Core) answer(x *command, a Answer) {
 	if x.over {
@@ -632,6 +649,13 @@
 		c.tap.Brick(name, zone, cell, serving, gone, boot, c.now)
 	}
 	c.in.Listed(&b.Brick, zone, cell, serving, gone, boot)
+	if !serving { // what still waits for a connection there would begin after the brick is told to drain
+		for _, d := range c.dispatches {
+			if d.to == b {
+				c.withdraw(d)
+			}
+		}
+	}
 }
 
 // share tells some other hosts what is believed: drains first, then a stretch of all lines, in turn.
@@ -839,10 +863,15 @@
 	}
 	for _, o := range x.outs {
 		if o.Dispatch == d && !o.over {
+			how := policy.CalledOff
 			if o.to != nil && o.to.line != nil {
-				o.to.line.Cancel(o.id)
+				if o.to.line.Withdraw(o.id) {
+					how = policy.Unsent
+				} else {
+					o.to.line.Cancel(o.id)
+				}
 			}
-			c.later = append(c.later, func() { c.ended(o, c.now, policy.CalledOff, nil, 0, 0) })
+			c.later = append(c.later, func() { c.ended(o, c.now, how, nil, 0, 0) })
 			return
 		}
 	}
--- a/internal/hostloop/hostloop_test.go
+++ b/internal/hostloop/hostloop_test.go
@@ -30,9 +30,10 @@
 // rig is a Core in virtual time whose ways out are noted, not taken.
 type rig struct {
 	*Core
-	sent    []uint64
-	quiet   bool
-	answers map[string]int
+	sent      []uint64
+	unwritten map[uint64]bool // dispatches that still wait for a connection
+	quiet     bool
+	answers   map[string]int
 }
 
 func (r *rig) say(format string, args ...any) {
@@ -61,10 +62,16 @@
 }
 func (n *noted) Cancel(uint64) { n.r.say("cancel at %s", n.brick) }
 func (n *noted) Forget(uint64) {}
-func (n *noted) Greet()        { n.r.say("greet %s", n.brick) }
-func (n *noted) Probe(uint64)  { n.r.say("probe %s", n.brick) }
-func (n *noted) CloseIdle()    {}
-func (n *noted) Close()        { n.r.say("close the line to %s", n.brick) }
+func (n *noted) Withdraw(id uint64) bool {
+	if n.r.unwritten[id] {
+		n.r.say("take back at %s", n.brick)
+	}
+	return n.r.unwritten[id]
+}
+func (n *noted) Greet()       { n.r.say("greet %s", n.brick) }
+func (n *noted) Probe(uint64) { n.r.say("probe %s", n.brick) }
+func (n *noted) CloseIdle()   {}
+func (n *noted) Close()       { n.r.say("close the line to %s", n.brick) }
 
 const start = time.Duration(1e18) // a wall clock
 
@@ -302,6 +309,51 @@
 	}
 }
 
+// News goes before what is queued: a client that left before its command was taken leaves nothing to do.
+func TestFirst(t *testing.T) {
+	l := NewLoop(4)
+	r := newRig(settings())
+	r.quiet = true
+	var order []string
+	gone := &Task{Volume: "v", QueueType: "read", Object: "o", Units: 1, Answer: func(Answer) { t.Error("an answer for nobody") }}
+	l.Post(func(*Core) { order = append(order, "queued") })
+	l.Post(func(c *Core) { c.Take(gone) })
+	l.First(func(c *Core) { c.Gone(gone); order = append(order, "first") })
+	ctx, stop := context.WithCancel(context.Background())
+	go l.Run(ctx, r.Core)
+	done := make(chan bool)
+	l.Post(func(*Core) { close(done) })
+	<-done
+	stop()
+	<-l.Done()
+	if !slices.Equal(order, []string{"first", "queued"}) || len(r.sent) > 0 || r.Counts().Taken > 0 {
+		t.Errorf("%v, %d sent, %+v", order, len(r.sent), r.Counts())
+	}
+}
+
+// What waits for its connection never begins once its client left or its brick drains, also where settings let nothing
+// be called off; what was written goes on.
+func TestWithdrawn(t *testing.T) {
+	for name, happens := range map[string]func(*rig, *Task){
+		"left":  func(r *rig, x *Task) { r.Gone(x) },
+		"drain": func(r *rig, _ *Task) { r.Told(false, []BrickLine{{Name: "a", Address: "1", Cell: 0}}) },
+	} {
+		for _, written := range []bool{false, true} {
+			s := settings()
+			s.Cancel = false
+			r := newRig(s)
+			r.quiet = true
+			x := &Task{Volume: "v", QueueType: "read", Object: "o", Units: 1, Answer: func(Answer) {}}
+			r.Take(x)
+			r.unwritten = map[uint64]bool{r.sent[0]: !written}
+			happens(r, x)
+			if n := r.Counts(); (n.Out == 0) == written || (n.Ended[policy.Unsent] == 1) == written {
+				t.Errorf("%s, written %v: %+v", name, written, n)
+			}
+		}
+	}
+}
+
 // State stays flat over a long run.
 func TestStateStaysFlat(t *testing.T) {
 	r := newRig(settings())
--- a/internal/hostloop/loop.go
+++ b/internal/hostloop/loop.go
@@ -8,13 +8,19 @@
 // Loop is the one goroutine that owns a Core. Events reach it as calls through a bounded queue.
 type Loop struct {
 	events chan func(*Core)
+	first  chan func(*Core) // before the next of events
 	start  time.Time
 	done   chan struct{}
 }
 
+const (
+	firstQueue = 256
+	batch      = 64 // events between two settings of the timer
+)
+
 // NewLoop makes one whose queue holds so many events.
 func NewLoop(queue int) *Loop {
-	return &Loop{events: make(chan func(*Core), queue), start: time.Now(), done: make(chan struct{})}
+	return &Loop{events: make(chan func(*Core), queue), first: make(chan func(*Core), firstQueue), start: time.Now(), done: make(chan struct{})}
 }
 
 // Now is a wall-clock reading at the start plus what the monotonic clock has counted since: it never runs backwards
@@ -39,19 +45,49 @@
 			c.Stop()
 			return
 		case <-alarm.C:
+			l.firsts(c)
 			c.Advance(l.Now())
-		case f := <-l.events:
+		case f := <-l.first:
 			c.Advance(l.Now())
 			f(c)
-			for n := min(len(l.events), 256); n > 0; n-- { // many at a time: timers need not be set for each
-				f = <-l.events
+		case f := <-l.events:
+			for n := min(len(l.events), batch); ; n-- { // many at a time: timers need not be set for each
+				l.firsts(c)
 				c.Advance(l.Now())
 				f(c)
+				if n <= 0 {
+					break
+				}
+				f = <-l.events
 			}
 		}
 	}
 }
 
+// firsts lets happen what must not wait behind the queue.
+func (l *Loop) firsts(c *Core) {
+	for {
+		select {
+		case f := <-l.first:
+			c.Advance(l.Now())
+			f(c)
+		default:
+			return
+		}
+	}
+}
+
+// First queues an event that goes before all of Offer and Post: news after which what is queued must not be begun. It
+// waits for room and fails only once the loop has ended.
+func (l *Loop) First(f func(*Core)) bool {
+	select {
+	case l.first <- f:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
 // Offer queues an event unless the queue is full.
 func (l *Loop) Offer(f func(*Core)) bool {
 	select {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -109,9 +109,38 @@
 // Buffered is the number of bytes read beyond what was asked for.
 func (x *Reader) Buffered() int { return x.buf.Buffered() }
 
+// Ahead is the first n bytes, or fewer, of those read beyond what was asked for.
+func (x *Reader) Ahead(n int) []byte {
+	b, _ := x.buf.Peek(min(n, x.buf.Buffered()))
+	return b
+}
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "DELETE", "CONNECT", "OPTIONS", "TRACE", "PATCH"}
+
+// StartSize is how many bytes tell for sure whether a request may begin with them.
+const StartSize = len("\r\nCONNECT ")
+
+// MayStart tells whether a pipelined request may begin with b, of which more may come. What can't be one was meant as a
+// body: the length before it was wrong.
+func MayStart(b []byte) bool {
+	text := strings.TrimPrefix(string(b), "\r\n")
+	if text == "\r" || text == "" {
+		return true
+	}
+	for _, m := range methods {
+		if m += " "; strings.HasPrefix(text, m) || strings.HasPrefix(m, text) {
+			return true
+		}
+	}
+	return false
+}
+
 // Request reads the head of a request.
 func (x *Reader) Request() (*Head, error) {
 	line, err := x.line()
+	if err == nil && line == "" { // RFC 9112, 2.2: an empty line before a request is to be passed over
+		line, err = x.line()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -262,11 +291,17 @@
 	return n, err == nil
 }
 
-// Body reads a whole body of at most most bytes. A body that ends with its connection can't be known to be whole.
+// Body reads a whole body of at most most bytes. One without a length ends with its connection and is whole where that
+// ended in good order (RFC 9112, 6.3); a reset is no end.
 func (x *Reader) Body(h *Head, most int) ([]byte, error) {
 	switch {
 	case h.Length == UntilEnd:
-		return nil, bad(502, "no length")
+		x.bound.left, x.bound.err = int64(most)+1, nil
+		b, err := io.ReadAll(io.LimitReader(x.buf, int64(most)+1))
+		if len(b) > most {
+			return nil, bad(413, "body of more than %d bytes", most)
+		}
+		return b, err
 	case h.Length > int64(most):
 		return nil, bad(413, "body of %d bytes, at most %d", h.Length, most)
 	case h.Length >= 0:
@@ -295,26 +330,24 @@
 	return b, nil
 }
 
-// Lines calls each with every line of an endless chunked body until it ends or each fails. A line that the end cut is
-// dropped; one of more than most bytes ends it.
-func (x *Reader) Lines(h *Head, most int, each func(line []byte) error) error {
+// Stream is an endless chunked body. Of what comes in one go at most most bytes are taken at a time; whoever reads it
+// bounds what a value in it may hold.
+func (x *Reader) Stream(h *Head, most int) (io.Reader, error) {
 	if h.Length != Chunked {
-		return bad(502, "the body is not chunked")
-	}
-	lines := bufio.NewReaderSize(httputil.NewChunkedReader(x.buf), most)
-	for {
-		x.bound.left = int64(2*most) + maxHead
-		line, err := lines.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return bad(502, "line of more than %d bytes", most)
-		}
-		if err != nil {
-			return err
-		}
-		if err := each(line); err != nil {
-			return err
-		}
+		return nil, bad(502, "the body is not chunked")
 	}
+	return &stream{x, httputil.NewChunkedReader(x.buf), int64(most)}, nil
+}
+
+type stream struct {
+	x    *Reader
+	r    io.Reader
+	most int64
+}
+
+func (s *stream) Read(p []byte) (int, error) {
+	s.x.bound.left = s.most + maxHead
+	return s.r.Read(p[:min(int64(len(p)), s.most)])
 }
 
 // AppendField adds a field to a head; what could end the field early is left out of the value.
--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -19,6 +19,7 @@
 type conn struct {
 	front   *Front
 	nc      net.Conn
+	inbox   *inbox
 	in      *http1.Reader
 	answers chan hostloop.Answer
 	by      time.Time // the request being read must be whole
@@ -29,10 +30,13 @@
 	place   *list.Element // under front.mu: among those without a command
 	since   time.Time     // when it came there
 	evicted bool          // under front.mu
+	retired bool          // evicted, to be ended in good order; under front.mu
+	lingers bool          // counts among those; under front.mu
 }
 
 func newConn(f *Front, nc net.Conn) *conn {
-	return &conn{front: f, nc: nc, in: http1.NewReader(nc), answers: make(chan hostloop.Answer, 1), by: time.Now().Add(whole)}
+	x := &inbox{r: nc, now: f.o.Loop.Now}
+	return &conn{front: f, nc: nc, inbox: x, in: http1.NewReader(x), answers: make(chan hostloop.Answer, 1), by: time.Now().Add(whole)}
 }
 
 var longAgo = time.Unix(1, 0)
@@ -43,10 +47,16 @@
 	c.nc.SetReadDeadline(c.by)
 	for {
 		err := c.in.Await()
-		if !c.front.put(c, reading) || err != nil {
+		if !c.front.put(c, reading) {
+			if c.retired {
+				c.part()
+			}
+			return
+		}
+		if err != nil {
 			return
 		}
-		arrived := c.front.o.Loop.Now()
+		arrived := c.inbox.arrived(c.in.Buffered())
 		if c.by.IsZero() {
 			c.by = time.Now().Add(whole)
 			c.nc.SetReadDeadline(c.by)
@@ -82,13 +92,14 @@
 		return c.fault(err)
 	}
 	if h.Get("Expect") == "100-continue" && c.in.Buffered() == 0 {
+		c.nc.SetWriteDeadline(time.Now().Add(write))
 		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	if t.Body, err = c.in.Body(h, maxBody); err != nil {
 		return c.fault(err)
 	}
-	if c.in.Buffered() > 0 { // a wrong length, or a request hidden behind this one
-		return c.fault(&http1.Error{Status: 400, What: "bytes beyond the request"})
+	if !c.ordered() {
+		return c.fault(errBeyond)
 	}
 	t.Arrived = arrived
 	if until := time.Duration(f.until.Load()); until > 0 {
@@ -108,8 +119,12 @@
 	}
 	t.Answer = func(a hostloop.Answer) {
 		c.release, t.Release = t.Release, nil
-		c.answers <- a // takes one without waiting
-		c.nc.SetReadDeadline(longAgo)
+		c.nc.SetReadDeadline(longAgo) // first: whoever has the answer sets the next deadline
+		c.answers <- a                // takes one without waiting
+	}
+	if c.inbox.err != nil { // the client has gone, as is known from behind what it sent
+		f.ids.free(id, false)
+		return false
 	}
 	c.nc.SetReadDeadline(time.Time{}) // the loop answers every command within its time-out
 	f.mu.Lock()
@@ -122,10 +137,10 @@
 		f.mu.Unlock()
 		return c.write(503, "", nil, c.closing)
 	}
-	err := c.in.Await()
-	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) { // gone, or bytes that belong to no request
+	err := c.wait()
+	if err != nil {
 		told := make(chan bool)
-		if f.o.Loop.Post(func(core *hostloop.Core) { core.Gone(t); close(told) }) {
+		if f.o.Loop.First(func(core *hostloop.Core) { core.Gone(t); close(told) }) {
 			select {
 			case <-told: // from here on there is no answer, or it lies here
 				c.free()
@@ -133,8 +148,8 @@
 			}
 		}
 		f.ids.free(id, true)
-		if err == nil {
-			return c.fault(&http1.Error{Status: 400, What: "bytes beyond the request"})
+		if err == errBeyond {
+			return c.fault(err)
 		}
 		return false
 	}
@@ -145,6 +160,40 @@
 	return c.answer(a)
 }
 
+// errBeyond: a length was wrong, since what stands behind the body begins no request.
+var errBeyond = &http1.Error{Status: 400, What: "bytes beyond the request"}
+
+// ordered tells whether what came behind a request may be the next one.
+func (c *conn) ordered() bool {
+	b := c.in.Ahead(http1.StartSize)
+	return http1.MayStart(append(b[:len(b):len(b)], c.inbox.head(http1.StartSize-len(b))...))
+}
+
+// wait reads ahead until the answer is there. Requests that come meanwhile are kept for their turn, a bounded amount; an
+// error tells that the client went away, also behind such requests, or that it sent what can't be one.
+func (c *conn) wait() error {
+	for {
+		switch err := c.inbox.ahead(); {
+		case err == nil:
+			if !c.ordered() {
+				return errBeyond
+			}
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil
+		case err == errFull:
+			select {
+			case a := <-c.answers:
+				c.answers <- a
+				return nil
+			case <-c.front.o.Loop.Done():
+				return err
+			}
+		default:
+			return err
+		}
+	}
+}
+
 // free gives back what a line set aside for the answer's body.
 func (c *conn) free() {
 	if c.release != nil {
@@ -221,6 +270,10 @@
 		t.CloseWrite()
 	}
 	c.front.put(c, parting)
-	c.nc.SetReadDeadline(time.Now().Add(linger))
+	rest := linger
+	if until := time.Duration(c.front.until.Load()); until > 0 {
+		rest = min(rest, max(until-c.front.o.Loop.Now(), 0))
+	}
+	c.nc.SetReadDeadline(time.Now().Add(rest))
 	io.Copy(io.Discard, io.LimitReader(c.nc, 1<<20))
 }
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -21,7 +21,7 @@
 type Loop interface {
 	Now() time.Duration
 	Offer(f func(*hostloop.Core)) bool
-	Post(f func(*hostloop.Core)) bool
+	First(f func(*hostloop.Core)) bool
 	Done() <-chan struct{}
 }
 
@@ -39,6 +39,7 @@
 	quiet  = 10 * time.Second       // a served connection without a request
 	write  = 2 * time.Second        // until an answer is taken, beyond its command timeout
 	linger = 500 * time.Millisecond // what is still sent is read and dropped, so that the answer is not lost to a reset
+	least  = 100 * time.Millisecond // of that, also where room is wanted
 )
 
 // Places of connections that hold no command.
@@ -55,8 +56,8 @@
 var toll = []struct {
 	place int
 	age   time.Duration
-}{{parting, 0}, {resting, 2 * time.Second}, {fresh, 500 * time.Millisecond}, {reading, time.Second}, {resting, 0}, {fresh, 0},
-	{reading, 0}}
+}{{parting, least}, {resting, 2 * time.Second}, {fresh, 500 * time.Millisecond}, {reading, time.Second}, {resting, 0},
+	{fresh, 0}, {reading, 0}, {parting, 0}}
 
 // Front is the clients' side of a host.
 type Front struct {
@@ -69,12 +70,13 @@
 	until  atomic.Int64 // on the loop's clock: every command must have its answer by then; 0: no such time
 	wg     sync.WaitGroup
 
-	mu     sync.Mutex
-	conns  map[*conn]bool
-	places [4]list.List // of *conn that can be done without, by place, oldest first
-	counts Counts
-	told   time.Time // when refusals were logged
-	unsaid int
+	mu        sync.Mutex
+	conns     map[*conn]bool
+	places    [4]list.List // of *conn that can be done without, by place, oldest first
+	lingering int          // evicted and not gone yet
+	counts    Counts
+	told      time.Time // when refusals were logged
+	unsaid    int
 }
 
 // Counts are running totals.
@@ -167,13 +169,30 @@
 	if age > 0 && time.Since(c.since) < age {
 		return false
 	}
+	delete(f.conns, c)
+	if l == &f.places[resting] && f.lingering < mostLingering {
+		f.lingering++
+		c.lingers = true
+		f.retire(c)
+		return true
+	}
 	l.Remove(e)
 	c.place, c.evicted = nil, true
-	delete(f.conns, c)
 	c.nc.Close()
 	return true
 }
 
+// mostLingering connections beyond the clients' part may be on their way out in good order.
+const mostLingering = 6
+
+// retire ends a connection between requests in good order: its goroutine half-closes it and reads a bounded rest, so that
+// a request which crosses the end does not turn it into a reset. Such a request is not taken. Under mu.
+func (f *Front) retire(c *conn) {
+	f.unplace(c)
+	c.evicted, c.retired = true, true
+	c.nc.SetReadDeadline(longAgo) // wakes its goroutine
+}
+
 // put marks what a connection does; none: it holds a command. false: it was closed to make room.
 func (f *Front) put(c *conn, place int) bool {
 	f.mu.Lock()
@@ -202,6 +221,9 @@
 	defer f.mu.Unlock()
 	f.unplace(c)
 	delete(f.conns, c)
+	if c.lingers {
+		f.lingering--
+	}
 }
 
 // refused counts what could not be a command and now and then says so.
@@ -252,9 +274,10 @@
 func (f *Front) clear() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for f.places[fresh].Len()+f.places[resting].Len() > 0 {
-		f.evictFrom(&f.places[fresh], 0)
-		f.evictFrom(&f.places[resting], 0)
+	for _, l := range []*list.List{&f.places[fresh], &f.places[resting]} {
+		for l.Len() > 0 {
+			f.retire(l.Front().Value.(*conn))
+		}
 	}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -51,20 +51,37 @@
 	// stacks and the kernel's part.
 	debug.SetMemoryLimit(int64(config.Limits.MemoryMB) << 20 / 2)
 	h := &Host{Config: config, Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), Start: start, State: c.State}
-	reloads := make(chan *conf.Config)
+	reloads := make(chan *conf.Config, 1)
 	go func() { // ends with the process
 		for range hup {
-			next, err := conf.Load(c.Config)
+			next, err := load(c.Config)
 			if err != nil {
 				h.Log.Error("reload: the old configuration stays in force", "err", err)
 				continue
 			}
+			select { // one not taken yet is out of date
+			case <-reloads:
+			default:
+			}
 			reloads <- next
 		}
 	}()
 	return h.Run(ctx, reloads)
 }
 
+// A file may be read while it is being written.
+const halfWritten, readAgain = 10, 50 * time.Millisecond
+
+func load(path string) (c *conf.Config, err error) {
+	for range halfWritten {
+		if c, err = conf.Load(path); err == nil {
+			return c, nil
+		}
+		time.Sleep(readAgain)
+	}
+	return nil, err
+}
+
 // Host is one host of the platform.
 type Host struct {
 	Config *conf.Config
@@ -73,6 +90,7 @@
 	State  time.Duration
 	Spare  time.Duration // before the platform may kill the host, all is answered; 0: usualSpare
 	Up     func(net.Addr)
+	Dial   func(ctx context.Context, address string) (net.Conn, error) // to bricks; nil: TCP
 
 	loop *hostloop.Loop
 	pool *pool.Pool
@@ -85,6 +103,7 @@
 	clientsPart = 0.55
 	bodiesPart  = 6 // of the memory, for answers on their way
 	loopQueue   = 4096
+	untold      = time.Second // that a new host waits for its agent's first word before it is ready
 )
 
 // Once the end is told the platform kills a host no sooner than after the longest command timeout, killWait at most, and
@@ -112,7 +131,7 @@
 	if c.Settings.DrainGrace > 0 { // a drain may be told while a dispatch waits for its connection
 		connect = min(connect, c.Settings.DrainGrace)
 	}
-	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: connect, Idle: c.Idle / 2, Log: h.Log,
+	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: connect, Idle: c.Idle / 2, Log: h.Log, Dial: h.Dial,
 		Bodies: int64(c.Limits.MemoryMB) << 20 / bodiesPart})
 	core := hostloop.New(c.Settings, decide.Rules{}, h.Start, ways{h}, nil, time.Second, h.loop.Now())
 	core.Told(true, c.Known.Lines)
@@ -127,13 +146,21 @@
 		}()
 	}
 	spawn(func() { h.loop.Run(inner, core) })
-	w := watch.New(watch.Options{Address: c.Discovery, Last: c.Known.Revision, Log: h.Log, Told: func(l conf.List) {
-		h.loop.Post(func(core *hostloop.Core) { core.Told(l.Whole, l.Lines) })
+	current := make(chan struct{})
+	w := watch.New(watch.Options{Address: c.Discovery, Last: c.Known.Revision, Log: h.Log, Current: func() { close(current) }, Told: func(l conf.List) {
+		h.loop.First(func(core *hostloop.Core) { core.Told(l.Whole, l.Lines) })
 	}})
 	spawn(func() { w.Run(inner) })
 	f := front.New(front.Options{Loop: h.loop, Settings: c.Settings, Most: clients, Log: h.Log})
 	spawn(func() { f.Serve(l) })
-	f.Ready()
+	spawn(func() { // what the agent has counts from the first moment on; while it is silent the known list must do
+		select {
+		case <-current:
+		case <-time.After(untold):
+		case <-inner.Done():
+		}
+		f.Ready()
+	})
 	h.Log.Info("serving", "name", c.Name, "clients", l.Addr().String(), "discovery", c.Discovery, "bricks", len(c.Known.Lines),
 		"revision", c.Known.Revision, "cores", c.Limits.Cores, "idle", c.Idle, "connect", c.Connect, "memory MB", c.Limits.MemoryMB, "connections of clients", clients,
 		"of bricks", usable-clients)
@@ -141,15 +168,18 @@
 		h.Up(l.Addr())
 	}
 	spawn(func() { h.states(inner, f) })
-	for serving := true; serving; {
-		select {
-		case next := <-reloads:
-			h.Log.Info("reload", "discovery", next.Discovery)
-			w.Move(next.Discovery)
-		case <-ctx.Done():
-			serving = false
+	spawn(func() { // discovery may move until the end: a stopping host serves on
+		for {
+			select {
+			case next := <-reloads:
+				h.Log.Info("reload", "discovery", next.Discovery)
+				w.Move(next.Discovery)
+			case <-inner.Done():
+				return
+			}
 		}
-	}
+	})
+	<-ctx.Done()
 	spare := h.Spare
 	if spare == 0 {
 		spare = usualSpare
--- a/internal/platform/pool/park.go
+++ b/internal/platform/pool/park.go
@@ -19,8 +19,9 @@
 	if c.dead || c.line.closed || p.ctx.Err() != nil {
 		return false
 	}
-	c.since = time.Now()
+	c.since, c.used = time.Now(), true
 	c.line.idle = append(c.line.idle, c)
+	c.line.match()
 	return true
 }
 
@@ -30,6 +31,9 @@
 // here, before anything is written.
 func (c *conn) park() *job {
 	err := c.in.Await()
+	if err == nil {
+		c.stray(time.Since(c.since))
+	}
 	p := c.line.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -38,12 +42,15 @@
 	}
 	j := c.next
 	c.next = nil
-	if j == nil || c.dead {
+	if j == nil {
 		return nil
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.silent() {
+	if !c.dead && errors.Is(err, os.ErrDeadlineExceeded) && c.silent() {
 		return j
 	}
+	if c.line.out[j.id] != j {
+		return nil
+	}
 	p.counts.Stale++
 	c.kill()
 	c.line.place(j)
--- a/internal/platform/pool/pool.go
+++ b/internal/platform/pool/pool.go
@@ -7,13 +7,11 @@
 	"context"
 	"errors"
 	"log/slog"
-
 	"math"
 	"net"
-
+	"slices"
 	"strconv"
 	"sync"
-
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -21,6 +19,7 @@
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/http1"
 	"weirhaven/internal/platform/pool/idle"
+	"weirhaven/internal/platform/pool/settle"
 	"weirhaven/policy"
 )
 
@@ -33,10 +32,11 @@
 // Options are what a pool is made with.
 type Options struct {
 	Loop    Loop
-	Most    int           // connections at a time, to all bricks
-	Bodies  int64         // bytes of answers held at a time, until their clients have them; at least MaxBody
-	Connect time.Duration // until a connection is up
-	Idle    time.Duration // until one without a dispatch is closed here
+	Most    int                                                         // connections at a time, to all bricks
+	Bodies  int64                                                       // bytes of answers held at a time, until their clients have them; at least MaxBody
+	Connect time.Duration                                               // that a dispatch waits for its connection
+	Idle    time.Duration                                               // until one without a dispatch is closed here
+	Dial    func(ctx context.Context, address string) (net.Conn, error) // nil: TCP
 	Log     *slog.Logger
 }
 
@@ -52,7 +52,6 @@
 // Pool is all connections to bricks.
 type Pool struct {
 	o      Options
-	dialer net.Dialer
 	ctx    context.Context
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
@@ -62,13 +61,26 @@
 	lines  map[*line]bool
 	counts Counts
 	life   *idle.Life
+	calm   *settle.Time
 	told   time.Time // when answers that can't be read were logged
 }
 
+// A connection that is slow to come up may be one whose packets were lost: another is opened beside it after a quarter
+// of the time that a dispatch waits. The slow one is kept for what comes later.
+const (
+	besides  = 4
+	dialMost = 2 * time.Second
+)
+
 // New makes a pool without connections.
 func New(o Options) *Pool {
-	p := &Pool{o: o, dialer: net.Dialer{Timeout: o.Connect, KeepAlive: -1}, lines: map[*line]bool{},
-		life: idle.New(o.Idle), bodies: semaphore.NewWeighted(max(o.Bodies, MaxBody))}
+	if o.Dial == nil {
+		dialer := net.Dialer{Timeout: max(o.Connect, dialMost), KeepAlive: -1}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	p := &Pool{o: o, lines: map[*line]bool{}, life: idle.New(o.Idle), calm: settle.New(), bodies: semaphore.NewWeighted(max(o.Bodies, MaxBody))}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
 }
@@ -87,7 +99,7 @@
 	for l := range p.lines {
 		l.shut()
 		for _, j := range l.out {
-			j.abandon()
+			l.abandon(j)
 		}
 	}
 	p.mu.Unlock()
@@ -107,6 +119,8 @@
 	pool           *Pool
 	brick, address string
 	out            map[uint64]*job
+	waiting        []*job  // for a connection, oldest first
+	dialing        []*conn // not up yet
 	idle           []*conn // the one used last is the last
 	closed         bool
 }
@@ -115,12 +129,13 @@
 type job struct {
 	id    uint64
 	task  *hostloop.Task
-	bytes []byte
 	held  int64 // of the budget for bodies
 	until time.Time
 	ctx   context.Context // ends when it is given up
 	stop  context.CancelFunc
-	conn  *conn
+	conn  *conn       // that it is on; nil: it waits for one
+	begun bool        // its bytes are being written, or were
+	wait  *time.Timer // while it waits
 }
 
 // conn is one connection, owned by one goroutine.
@@ -128,23 +143,30 @@
 	line  *line
 	nc    net.Conn // nil: not up yet
 	in    *http1.Reader
-	next  *job          // handed over while it was idle
-	dead  bool          // closed, or about to be
-	since time.Time     // idle; zero: not used yet
-	lay   time.Duration // idle before the dispatch that is out
+	began time.Time          // the dial
+	stop  context.CancelFunc // of the dial
+	next  *job               // handed over while it was idle
+	dead  bool               // closed, or about to be
+	used  bool               // an answer came on it
+	since time.Time          // idle; zero: never yet
+	lay   time.Duration      // idle before the dispatch that is out
 }
 
-// Dispatch puts a command on the connection used last, or on a new one.
-func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left time.Duration) {
+// render is a dispatch's bytes. What it tells of the time left is true when they are written.
+func (j *job) render() []byte {
+	t := j.task
 	b := make([]byte, 0, len(t.Lead)+96+len(t.Body))
 	b = append(b, t.Lead...)
-	b = http1.AppendField(b, "X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	b = http1.AppendField(b, "X-Remaining-Ms", strconv.FormatInt(max(time.Until(j.until).Milliseconds(), 1), 10))
 	if len(t.Body) > 0 || len(b) > 0 && b[0] == 'P' {
-		b = http1.AppendEnd(b, t.Body)
-	} else {
-		b = append(b, "\r\n"...)
+		return http1.AppendEnd(b, t.Body)
 	}
-	j := &job{id: id, task: t, bytes: b, until: time.Now().Add(left)}
+	return append(b, "\r\n"...)
+}
+
+// Dispatch puts a command on the settled connection used last, or on the first that is there for it.
+func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left time.Duration) {
+	j := &job{id: id, task: t, until: time.Now().Add(left)}
 	j.ctx, j.stop = context.WithCancel(l.pool.ctx)
 	p := l.pool
 	p.mu.Lock()
@@ -156,29 +178,102 @@
 
 // place finds a connection for a job of which nothing was sent. Under mu.
 func (l *line) place(j *job) {
-	if n := len(l.idle); n > 0 && time.Since(l.idle[n-1].since) > l.pool.life.Most() {
+	j.conn = nil
+	if l.closed || l.pool.ctx.Err() != nil {
+		l.fail(j)
+		return
+	}
+	l.waiting = append(l.waiting, j)
+	if l.match(); j.conn != nil {
+		return
+	}
+	wait := l.pool.o.Connect
+	young := 0
+	for _, c := range l.dialing {
+		if time.Since(c.began) < wait/besides {
+			young++
+		}
+	}
+	if young < len(l.waiting) && len(l.dialing) < len(l.waiting)+besides-1 && !l.dial() && len(l.dialing)+len(l.idle) == 0 {
+		l.fail(j)
+		return
+	}
+	tries := 0
+	j.wait = time.AfterFunc(wait/besides, func() { // one more beside it, and then its time is over
+		l.pool.mu.Lock()
+		defer l.pool.mu.Unlock()
+		if !slices.Contains(l.waiting, j) {
+			return
+		}
+		if tries++; tries < besides {
+			if len(l.dialing) < len(l.waiting)+besides-1 {
+				l.dial()
+			}
+			j.wait.Reset(wait / besides)
+			return
+		}
+		l.fail(j)
+	})
+}
+
+// fail ends a job that never had a connection. Under mu.
+func (l *line) fail(j *job) {
+	l.unwait(j)
+	l.pool.spawn(func() { l.report(j, l.pool.o.Loop.Now(), policy.Unconnected, nil, 0) })
+}
+
+func (l *line) unwait(j *job) {
+	if i := slices.Index(l.waiting, j); i >= 0 {
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+	}
+	if j.wait != nil {
+		j.wait.Stop()
+		j.wait = nil
+	}
+}
+
+// match gives waiting jobs to connections that have settled: a second copy of the answer before would be there by now.
+// Under mu.
+func (l *line) match() {
+	p := l.pool
+	if n := len(l.idle); n > 0 && time.Since(l.idle[n-1].since) > p.life.Most() {
 		l.shut() // the others have lain there for longer
 	}
-	if n := len(l.idle); n > 0 {
-		c := l.idle[n-1]
-		c.lay = time.Since(c.since)
-		l.idle = l.idle[:n-1]
-		c.next, j.conn = j, c
+	calm := p.calm.Needs(p.o.Loop.Now())
+	for i := len(l.idle) - 1; i >= 0 && len(l.waiting) > 0; i-- {
+		c := l.idle[i]
+		if c.used && time.Since(c.since) < calm {
+			continue
+		}
+		l.idle = slices.Delete(l.idle, i, i+1)
+		j := l.waiting[0]
+		l.unwait(j)
+		c.lay, c.next, j.conn = time.Since(c.since), j, c
 		c.nc.SetReadDeadline(longAgo) // wakes its goroutine
-		return
 	}
+	if len(l.waiting) > 0 && len(l.idle) > 0 {
+		time.AfterFunc(calm, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			l.match()
+		})
+	}
+}
+
+// dial opens one more connection, if there is room for it. Under mu.
+func (l *line) dial() bool {
 	p := l.pool
-	c := &conn{line: l}
-	j.conn = c
-	if l.closed || p.ctx.Err() != nil || p.counts.Open >= p.o.Most && !p.evict() {
+	if p.counts.Open >= p.o.Most && !p.evict() {
 		p.counts.Exhausted++
-		c.dead = true
-		p.spawn(func() { l.report(j, p.o.Loop.Now(), policy.Unconnected, nil, 0) })
-		return
+		return false
 	}
 	p.counts.Open++
 	p.counts.Opened++
-	p.spawn(func() { c.run(j) })
+	ctx, stop := context.WithCancel(p.ctx)
+	c := &conn{line: l, stop: stop, began: time.Now()}
+	l.dialing = append(l.dialing, c)
+	p.spawn(func() { c.run(ctx) })
+	return true
 }
 
 func (p *Pool) spawn(f func()) {
@@ -207,29 +302,49 @@
 	return true
 }
 
-// Cancel and Forget give a dispatch up: its connection is closed.
+// Cancel and Forget give a dispatch up: its connection is closed, unless it waits for one still.
 func (l *line) Cancel(id uint64) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	if j := l.out[id]; j != nil {
 		delete(l.out, id)
-		j.abandon()
+		l.abandon(j)
+		l.forget()
 	}
 }
 
 func (l *line) Forget(id uint64) { l.Cancel(id) }
 
-func (j *job) abandon() {
+// Withdraw takes back a dispatch of which no byte was written; true: none ever will be.
+func (l *line) Withdraw(id uint64) bool {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	j := l.out[id]
+	if j == nil || j.begun {
+		return false
+	}
+	delete(l.out, id)
+	l.abandon(j)
+	l.forget()
+	return true
+}
+
+// abandon lets go of a job. Under mu.
+func (l *line) abandon(j *job) {
 	j.stop()
-	j.conn.kill()
+	l.unwait(j)
+	if j.conn != nil {
+		j.conn.kill()
+	}
 }
 
-// kill closes a connection from outside. Under mu.
+// kill closes a connection from outside. Under mu. One that is not up yet counts until its socket is gone.
 func (c *conn) kill() {
 	if !c.dead {
 		c.dead = true
-		c.line.pool.counts.Open--
+		c.stop()
 		if c.nc != nil {
+			c.line.pool.counts.Open--
 			c.nc.Close()
 		}
 	}
@@ -263,6 +378,9 @@
 	defer l.pool.mu.Unlock()
 	l.closed = true
 	l.shut()
+	for _, c := range l.dialing {
+		c.kill()
+	}
 	l.forget()
 }
 
@@ -299,38 +417,81 @@
 
 var longAgo = time.Unix(1, 0)
 
-func (c *conn) run(j *job) {
+// run brings a connection up and serves whoever waits for one.
+func (c *conn) run(ctx context.Context) {
 	p := c.line.pool
 	defer func() {
 		p.mu.Lock()
 		c.kill()
 		p.mu.Unlock()
 	}()
-	nc, err := p.dialer.DialContext(j.ctx, "tcp", c.line.address)
+	nc, err := p.o.Dial(ctx, c.line.address)
+	j := c.up(nc, err)
+	for c.nc != nil {
+		if j == nil {
+			if j = c.park(); j == nil {
+				return
+			}
+		}
+		if !c.exchange(j) {
+			return
+		}
+		j = nil
+	}
+}
+
+// up takes a connection into use, or tells one that waited that there is none.
+func (c *conn) up(nc net.Conn, err error) *job {
+	l, p := c.line, c.line.pool
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.dialing = slices.DeleteFunc(l.dialing, func(x *conn) bool { return x == c })
 	if err == nil && c.dead {
 		nc.Close()
 		err = net.ErrClosed
-	} else if err == nil {
-		c.nc, c.in = nc, http1.NewReader(nc)
 	}
-	p.mu.Unlock()
 	if err != nil {
-		c.line.report(j, p.o.Loop.Now(), policy.Unconnected, nil, 0)
-		return
+		p.counts.Open--
+		c.dead = true
+		if len(l.waiting) > len(l.dialing)+len(l.idle) {
+			l.fail(l.waiting[0])
+		}
+		return nil
 	}
-	for j != nil && c.exchange(j) {
-		j = c.park()
+	c.nc, c.in = nc, http1.NewReader(nc)
+	if len(l.waiting) > 0 {
+		j := l.waiting[0]
+		l.unwait(j)
+		j.conn = c
+		return j
 	}
+	c.nc.SetDeadline(time.Now().Add(p.life.Most()))
+	c.since = time.Now()
+	l.idle = append(l.idle, c)
+	return nil
+}
+
+// begin tells whether a job may be written now: it was not given up, its time is not over.
+func (c *conn) begin(j *job) bool {
+	p := c.line.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j.begun = c.line.out[j.id] == j && !c.dead && time.Now().Before(j.until)
+	return j.begun
 }
 
 // exchange sends a job and reads its answer; it tells whether the connection can be used on.
 func (c *conn) exchange(j *job) bool {
 	now := c.line.pool.o.Loop.Now
+	if !c.begin(j) {
+		c.line.report(j, now(), policy.Unsent, nil, 0)
+		return false
+	}
 	c.nc.SetDeadline(j.until.Add(time.Second)) // the loop gives it up before
-	if n, err := c.nc.Write(j.bytes); err != nil {
+	bytes := j.render()
+	if n, err := c.nc.Write(bytes); err != nil {
 		how := policy.Unconnected
-		if n >= len(j.bytes) {
+		if n >= len(bytes) {
 			how = policy.Broken
 		}
 		c.learn(j, true)
@@ -353,7 +514,7 @@
 	c.learn(j, false)
 	good := !h.Close && c.in.Buffered() == 0 // what stands after an answer belongs to no dispatch
 	if c.in.Buffered() > 0 {
-		c.count(&c.line.pool.counts.Extra)
+		c.stray(0)
 	}
 	how := policy.Errored
 	switch {
@@ -367,6 +528,15 @@
 	return good
 }
 
+// stray notes that something came so long after an answer that nobody had asked for.
+func (c *conn) stray(after time.Duration) {
+	p := c.line.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Extra++
+	p.calm.Stray(after, p.o.Loop.Now())
+}
+
 func (c *conn) read(j *job) (*http1.Head, []byte, error) {
 	if err := c.in.Await(); err != nil {
 		return nil, nil, err
@@ -376,7 +546,7 @@
 		return nil, nil, err
 	}
 	n := h.Length
-	if n == http1.Chunked {
+	if n < 0 { // none is told
 		n = MaxBody
 	}
 	if n > 0 && n <= MaxBody { // else no body is read
@@ -416,12 +586,6 @@
 	}
 }
 
-func (c *conn) count(n *int64) {
-	c.line.pool.mu.Lock()
-	defer c.line.pool.mu.Unlock()
-	*n++
-}
-
 // number reads a figure that an answer may carry; one that can't be read is as if absent.
 func number(s string) float64 {
 	x, err := strconv.ParseFloat(s, 64)
--- /dev/null
+++ b/internal/platform/pool/settle/settle_test.go
@@ -0,0 +1,30 @@
+package settle
+
+import (
+	"fmt"
+	"time"
+)
+
+// A copy that came 40 ms late makes connections rest for longer; one that came at once changes nothing; what was learnt
+// fades, never below the least.
+func Example() {
+	const ms = time.Millisecond
+	t, now := New(), time.Hour
+	fmt.Println(t.Needs(now))
+	t.Stray(0, now)
+	fmt.Println(t.Needs(now))
+	t.Stray(40*ms, now)
+	t.Stray(3*ms, now)
+	fmt.Println(t.Needs(now + 19*time.Second))
+	fmt.Println(t.Needs(now + 20*time.Second))
+	fmt.Println(t.Needs(now + time.Hour))
+	t.Stray(time.Minute, now+2*time.Hour)
+	fmt.Println(t.Needs(now + 2*time.Hour))
+	// Output:
+	// 10ms
+	// 10ms
+	// 80ms
+	// 40ms
+	// 10ms
+	// 250ms
+}
--- /dev/null
+++ b/internal/platform/races_test.go
@@ -0,0 +1,313 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"weirhaven/internal/http1"
+	"weirhaven/internal/platform/conf"
+	"weirhaven/policy"
+)
+
+// gate holds connections to bricks back until the test lets them come up.
+type gate struct {
+	asked chan bool
+	let   chan bool
+}
+
+func (g *gate) dial(ctx context.Context, address string) (net.Conn, error) {
+	g.asked <- true
+	select {
+	case <-g.let:
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func gated(t *testing.T, b *brick, cancel bool) (*host, *gate) {
+	t.Parallel()
+	g := &gate{make(chan bool, 100), make(chan bool, 100)}
+	h := aHost(t, b)
+	h.toBrick, h.config.Settings.Cancel = g.dial, cancel
+	h.start()
+	return h, g
+}
+
+// A client that leaves while its command waits for a connection: nothing of it is ever written, whether settings let
+// dispatches be called off or not, though the connection comes up later.
+func TestGoneWhileConnecting(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		t.Run(fmt.Sprint(cancel), func(t *testing.T) {
+			b := newBrick(t, answers)
+			h, g := gated(t, b, cancel)
+			c := h.dial()
+			say(c, read("a1"))
+			<-g.asked
+			c.Close()
+			h.how(policy.Unsent)
+			for range 4 {
+				g.let <- true
+			}
+			want(t, h.dial(), read("a2"), 200, "answer 0")
+			if s := <-b.seen; !strings.Contains(s, "a2") {
+				t.Errorf("%s was sent though its client had left", s)
+			}
+		})
+	}
+}
+
+// A drain told while a dispatch waits for a connection: it never begins there, though the connection comes up after.
+func TestDrainBeforeConnected(t *testing.T) {
+	b := newBrick(t, answers)
+	h, g := gated(t, b, false)
+	c := h.dial()
+	say(c, read("a1"))
+	<-g.asked
+	<-h.agent.asked
+	h.agent.tell(8, false, b.line("b0", 0, "terminating"))
+	h.how(policy.Unsent)
+	for range 4 {
+		g.let <- true
+	}
+	if s, _ := hear(c); s != 503 {
+		t.Errorf("%d, wanted 503", s)
+	}
+	b.nothing(t)
+}
+
+// A connection that does not come up does not take its dispatch with it: another is opened beside it. What the dispatch
+// tells of the time left is true when it is written.
+func TestSlowConnection(t *testing.T) {
+	left := make(chan string, 1)
+	l := listen(t)
+	var wg sync.WaitGroup
+	t.Cleanup(func() { l.Close(); wg.Wait() })
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := http1.NewReader(c)
+		if r.Await() == nil {
+			if h, err := r.Request(); err == nil {
+				left <- h.Get("X-Remaining-Ms")
+				say(c, good("there"))
+			}
+		}
+	}()
+	h, g := gated(t, &brick{l: l}, true)
+	c := h.dial()
+	say(c, read("a1"))
+	<-g.asked // the first hangs
+	<-g.asked // opened beside it
+	g.let <- true
+	if s, body := hear(c); s != 200 || body != "there" {
+		t.Errorf("%d %q", s, body)
+	}
+	var n int
+	if fmt.Sscan(<-left, &n); n < 500 || n > 950 {
+		t.Errorf("%d ms left told, some 62 ms of 1000 were over", n)
+	}
+}
+
+// A brick that sends each answer twice, the copy some milliseconds late: every command gets its own.
+func TestLateCopies(t *testing.T) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	b := newBrick(t, func(c net.Conn, n int) bool {
+		answer := good(fmt.Sprint("answer ", n))
+		wg.Add(1)
+		time.AfterFunc(3*ms, func() { defer wg.Done(); say(c, answer) })
+		return say(c, answer)
+	})
+	h := newHost(t, b)
+	c := h.dial()
+	for i := range 100 {
+		want(t, c, read(fmt.Sprint("a", i)), 200, fmt.Sprint("answer ", i))
+	}
+}
+
+// Many requests at once on a connection: each gets its answer in turn, one at a time, and its time-out counts from when its
+// own bytes came.
+func TestPipelined(t *testing.T) {
+	var out, most atomic.Int64
+	b := newBrick(t, func(c net.Conn, n int) bool {
+		if now := out.Add(1); now > most.Load() {
+			most.Store(now)
+		}
+		defer out.Add(-1)
+		return answers(c, n)
+	})
+	h := newHost(t, b)
+	c := h.dial()
+	var all strings.Builder
+	for i := range 40 {
+		if i%2 == 0 {
+			all.WriteString(read(fmt.Sprint("a", i)))
+		} else {
+			all.WriteString(write(fmt.Sprint("a", i), strings.Repeat("x", i)))
+		}
+	}
+	text := all.String()
+	say(c, text[:len(text)/2-7]) // a break in the middle of one
+	go say(c, text[len(text)/2-7:])
+	in := http1.NewReader(c)
+	for i := range 40 {
+		if in.Await() != nil {
+			t.Fatal("the connection ended")
+		}
+		a, err := in.Answer()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := in.Body(a, 100); a.Status != 200 || string(body) != fmt.Sprint("answer ", i) {
+			t.Errorf("%d: %d %q", i, a.Status, body)
+		}
+		if s := <-b.seen; !strings.Contains(s, fmt.Sprint(" a", i, " ")) {
+			t.Errorf("%s, wanted a%d", s, i)
+		}
+	}
+	if most.Load() > 1 {
+		t.Errorf("%d at a time", most.Load())
+	}
+}
+
+// Behind a request that says Connection: close nothing is taken; a length that was wrong still ends the connection, also
+// where the bytes beyond come while the command waits; a client that leaves behind what it sent is noticed.
+func TestPipelinedEnds(t *testing.T) {
+	b := newBrick(t, answers)
+	h := newHost(t, b)
+	want(t, h.dial(), read("a1", "Connection: close\r\n")+read("a2"), 200, "answer 0")
+	<-b.seen
+	want(t, h.dial(), write("a3", "abc")+"abc", 400, "")
+	want(t, h.dial(), write("a4", "")+"\x00\x01", 400, "")
+	want(t, h.dial(), read("a5"), 200, "answer 1")
+	if s := <-b.seen; !strings.Contains(s, "a5") {
+		t.Errorf("%s was taken", s)
+	}
+	hold := make(chan bool)
+	slow := newBrick(t, func(c net.Conn, n int) bool {
+		if n < 2 {
+			<-hold
+		}
+		return answers(c, n)
+	})
+	defer close(hold)
+	other := aHost(t, slow)
+	other.start()
+	c := other.dial()
+	say(c, write("b1", "abc"))
+	<-slow.seen
+	say(c, "beyond")
+	if s, _ := hear(c); s != 400 {
+		t.Errorf("%d, wanted 400", s)
+	}
+	other.how(policy.CalledOff)
+	c = other.dial()
+	say(c, read("b2"))
+	<-slow.seen
+	for i := range 100 {
+		say(c, read(fmt.Sprint("c", i)))
+	}
+	c.Close()
+	other.how(policy.CalledOff)
+	want(t, other.dial(), read("b3"), 200, "answer 2")
+	if s := <-slow.seen; !strings.Contains(s, "b3") {
+		t.Errorf("%s was sent though its client had left", s)
+	}
+}
+
+// Time-outs of pipelined requests: the second came with the first and has no time left once that is answered.
+func TestPipelinedTimeout(t *testing.T) {
+	b := newBrick(t, func(c net.Conn, n int) bool { time.Sleep(300 * ms); return answers(c, n) })
+	h := newHost(t, b)
+	c := h.dial()
+	say(c, read("a1")+strings.Replace(read("a2"), "Ms: 1000", "Ms: 200", 1))
+	in := http1.NewReader(c)
+	var got []int
+	for range 2 {
+		if in.Await() != nil {
+			break
+		}
+		a, err := in.Answer()
+		if err != nil {
+			break
+		}
+		in.Body(a, 100)
+		got = append(got, a.Status)
+	}
+	if !slices.Equal(got, []int{200, 503}) || len(b.seen) != 1 {
+		t.Errorf("%v, %d sent", got, len(b.seen))
+	}
+}
+
+// At the end an idle connection is half-closed: a request that crosses the end is neither taken nor answered by a reset.
+func TestRequestAtTheEnd(t *testing.T) {
+	b := newBrick(t, answers)
+	h := newHost(t, b)
+	c := h.dial()
+	want(t, c, read("a1"), 200, "answer 0")
+	<-b.seen
+	h.stop()
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatal(err)
+	}
+	say(c, read("a2"))
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("%v, wanted an end in good order", err)
+	}
+	b.nothing(t)
+}
+
+// Discovery moves while the host is stopping: it serves on for a while, so drains at the new address count.
+func TestReloadWhileStopping(t *testing.T) {
+	h := newHost(t, newBrick(t, answers))
+	second := newAgent(t)
+	<-h.agent.asked
+	h.stop()
+	next := *h.config
+	next.Discovery = second.l.Addr().String()
+	select {
+	case h.reloads <- &next:
+	case <-time.After(5 * time.Second):
+		t.Fatal("nobody takes the reload")
+	}
+	select {
+	case <-second.asked:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the new agent is not asked")
+	}
+}
+
+// A configuration that is read while it is being written is read again.
+func TestHalfWritten(t *testing.T) {
+	file := t.TempDir() + "/c.json"
+	os.WriteFile(file, []byte(`{"listen":`), 0o600)
+	done := make(chan error, 1)
+	var c *conf.Config
+	go func() {
+		var err error
+		c, err = load(file)
+		done <- err
+	}()
+	text := `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":{"limits":` +
+		`{"max_attempts":1,"conn_idle_us":1,"connect_timeout_us":1},"classes":[{"name":"r","aim_us":1,"give_up_us":1,"semantics":"once"}],"plans":[{"name":"p"}]}}`
+	os.WriteFile(file+"2", []byte(text), 0o600)
+	os.Rename(file+"2", file)
+	if err := <-done; err != nil || c.Name != "n" {
+		t.Error(err)
+	}
+}
--- a/internal/platform/same_test.go
+++ b/internal/platform/same_test.go
@@ -159,6 +159,7 @@
 }
 func (n *noting) add(at time.Duration, f func()) { n.at, n.due = append(n.at, at), append(n.due, f) }
 func (l *notedLine) Cancel(uint64)               {}
+func (l *notedLine) Withdraw(uint64) bool        { return false }
 func (l *notedLine) Greet()                      {}
 func (l *notedLine) Forget(uint64)               {}
 func (l *notedLine) Probe(uint64)                {}
