Module: a restarted host counts its part of a cold brick as spent; tagged repeats begin in time

coldRoom (policy.go) forgot with the process what had gone to a brick that ramps up: seven in ten hosts killed at once within the span could send their parts twice, N/2 of the whole in all. A host now sends nothing for one span to bricks that came up before it did.

A further dispatch of a tagged command was decided within its window and could be written later, since it may wait for a connection: rule 2. Dispatch.By tells the host until when it may begin; the pool ends it as unsent after that.

--- a/internal/brickconn/brickconn.go
+++ b/internal/brickconn/brickconn.go
@@ -93,7 +93,7 @@
 	return c
 }
 
-func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left time.Duration) {
+func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left, _ time.Duration) {
 	var o lineproto.Out
 	o.B = make([]byte, 0, 256+len(t.Body))
 	o.Start(lineproto.Run, id).Text("Volume", t.Volume).Text("Queue-Type", t.QueueType).Text("Object", t.Object).
--- a/internal/capacity/forecast/forecast.go
+++ b/internal/capacity/forecast/forecast.go
@@ -734,7 +734,7 @@
 	return &line{h, nil, name}
 }
 
-func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left time.Duration) {
+func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left, _ time.Duration) {
 	w, b, h := l.h.w, l.b, l.h
 	if n > 0 {
 		h.budget()
--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -37,7 +37,8 @@
 // Line is the way to one brick. Every call returns at once. A dispatch or probe that is not answered by the brick is
 // reported by Core.Outcome or Core.ProbeOutcome once the line knows how it ended; none is reported twice.
 type Line interface {
-	Dispatch(id uint64, t *Task, n int, left time.Duration)
+	// by is on the loop's clock: a dispatch that has not begun by then must not; 0: any time.
+	Dispatch(id uint64, t *Task, n int, left, by time.Duration)
 	Cancel(id uint64)
 	Withdraw(id uint64) bool // true: no byte of the dispatch was written, and none ever will be
 	Greet()                  // hear the brick's own word, on a new connection if need be
@@ -836,7 +837,7 @@
 		c.counts.Further++
 	}
 	c.after(left, timer{d: o})
-	b.line.Dispatch(o.id, x.task, d.N, left)
+	b.line.Dispatch(o.id, x.task, d.N, left, d.By)
 }
 
 func (h *host) BusyReply(p *policy.Command, pause time.Duration) {
--- a/internal/platform/pool/pool.go
+++ b/internal/platform/pool/pool.go
@@ -131,6 +131,7 @@
 	task  *hostloop.Task
 	held  int64 // of the budget for bodies
 	until time.Time
+	by    time.Duration   // it must begin by then, on the loop's clock; 0: any time
 	ctx   context.Context // ends when it is given up
 	stop  context.CancelFunc
 	conn  *conn       // that it is on; nil: it waits for one
@@ -165,8 +166,8 @@
 }
 
 // Dispatch puts a command on the settled connection used last, or on the first that is there for it.
-func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left time.Duration) {
-	j := &job{id: id, task: t, until: time.Now().Add(left)}
+func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left, by time.Duration) {
+	j := &job{id: id, task: t, until: time.Now().Add(left), by: by}
 	j.ctx, j.stop = context.WithCancel(l.pool.ctx)
 	p := l.pool
 	p.mu.Lock()
@@ -471,12 +472,12 @@
 	return nil
 }
 
-// begin tells whether a job may be written now: it was not given up, its time is not over.
+// begin tells whether a job may be written now: it was not given up, and is not too late.
 func (c *conn) begin(j *job) bool {
 	p := c.line.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	j.begun = c.line.out[j.id] == j && !c.dead && time.Now().Before(j.until)
+	j.begun = c.line.out[j.id] == j && !c.dead && time.Now().Before(j.until) && (j.by == 0 || p.o.Loop.Now() < j.by)
 	return j.begun
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,7 @@
 		refused: map[wish][]time.Duration{}, marksRepeat: s.MarksRepeat, cancels: s.Cancel, advises: s.MaxPause,
 		maxDispatches: s.MaxDispatch, budgeted: s.Budgeted, budgetFree: s.BudgetFree, budgetShare: s.BudgetShare,
 		budgetSpan: s.BudgetSpan, keyRest: s.KeyRest, usual: math.Max(s.UsualUnits, 1), askWithin: s.AskWithin,
-		watches: s.Probe && s.Peers, ordinal: s.Ordinal, early: 2 * s.Resolution,
+		watches: s.Probe && s.Peers, ordinal: s.Ordinal, early: 2 * s.Resolution, began: h.Now(),
 		coldFor: s.ColdFor, coldSpan: s.FallAfter, coldGain: 1/math.Max(s.ColdFrom, 0.01) - 1}
 	in.coldAll = s.ColdUnits * math.Max(s.FallMultiple-1, 0) / math.Max(s.FallMultiple, 1)
 	in.Hosts(max(s.Hosts, 1), max(s.Hosts, 1))
@@ -264,6 +264,17 @@
 	return true
 }
 
+// by is until when a further dispatch may begin. Guards rule 2 where one waits for its connection: by then its
+// repeat may be forgotten.
+func (c *Command) by() (by time.Duration) {
+	for _, d := range c.dispatches {
+		if end := d.sent + c.queue.window; d.ran && c.queue.semantics == Tagged && (by == 0 || end < by) {
+			by = end
+		}
+	}
+	return by
+}
+
 // again tells whether a further dispatch of c may go to b: within attempts, credit and budget.
 func (in *Instance) again(c *Command, b *Brick, now time.Duration) bool {
 	if len(c.dispatches) == 0 {
@@ -533,7 +544,7 @@
 		in.further = append(in.further, now)
 	}
 	in.unhold(c)
-	d := &Dispatch{Cmd: c, Brick: b, N: len(c.dispatches), sent: now, gap: in.start(b), ran: true}
+	d := &Dispatch{Cmd: c, Brick: b, N: len(c.dispatches), By: c.by(), sent: now, gap: in.start(b), ran: true}
 	c.dispatches = append(c.dispatches, d)
 	c.out, b.out = c.out+1, b.out+1
 	b.flying = append(b.flying, d)
@@ -623,6 +634,9 @@
 			out += d.Cmd.units
 		}
 	}
+	if b.boot <= in.began && now < in.began+in.coldSpan {
+		return 0 // a host that has just started can't know what it sent before: its part may be out
+	}
 	return math.Max(in.coldUnits*(1+in.coldGain*age.Seconds()/in.coldFor.Seconds()), in.coldProof*done) - out
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -86,6 +86,43 @@
 	//  6025ms dispatch 4.0 to a
 }
 
+// A host that was restarted while a brick ramps up may have sent it its part a moment ago: nothing more goes there for one
+// span. A brick that came up later is not concerned.
+func Example_coldRestart() {
+	b := startAt(5000*ms, setting(), "a", "b")
+	b.list("a", 0, true, 4900*ms)
+	b.run(10 * ms)
+	b.list("b", 1, true, 5005*ms)
+	b.take("read", "plain", "x", 0, 1)
+	b.take("read", "plain", "y", 1, 1)
+	b.run(900 * ms)
+	b.take("read", "plain", "z", 0, 1)
+	b.run(200 * ms)
+	// Output:
+	//  5000ms log: ramp a: started 100ms ago, warm within 10s
+	//  5010ms log: ramp b: started 5ms ago, warm within 10s
+	//  5010ms dispatch 2.0 to b
+	//  5206ms busy-reply 1, back in 50ms
+	//  6000ms dispatch 3.0 to a
+	//  6006ms cancel 2.0
+	//  6006ms busy-reply 2, back in 50ms
+}
+
+// A tagged command may go again only as long as its mark is known: the host is told until when it may begin.
+func Example_tagWindow() {
+	b := start(setting(), "a")
+	b.take("tag", "plain", "x", 0, 1)
+	fmt.Println(b.out[0].By)
+	b.run(100 * ms)
+	b.end(Errored, false)
+	fmt.Println(b.out[0].By)
+	// Output:
+	//     0ms dispatch 1.0 to a
+	// 0s
+	//   100ms dispatch 1.1 to a
+	// 500ms
+}
+
 // What is gone is forgotten once nothing is out there: replaced bricks have new names, and a long run has many.
 func Example_forgetsGone() {
 	b := start(setting(), "a", "b")
--- a/policy/state.go
+++ b/policy/state.go
@@ -27,6 +27,7 @@
 	Cmd    *Command
 	Brick  *Brick
 	N      int
+	By     time.Duration // by when it must begin; 0: any time
 
 	sent time.Duration
 	gap  time.Duration // the brick's when it was sent
@@ -178,6 +179,7 @@
 	queues         map[string]*queueType
 	plans          map[string]*plan
 	lc             time.Duration
+	began          time.Duration
 	early          time.Duration
 	shortest       time.Duration // of the service targets
 	cancels        bool
