A client that sends more than is kept and goes is noticed; the rest of its requests is dropped

Reading ahead stopped at 64 KiB (front/inbox.go, errFull), so a close behind more than that was not seen and what was kept would have been dispatched for a client that had left. Now what there is no room for is read and dropped, the connection ends in good order where the kept bytes end, and the room is shared by all connections (a sixteenth of the memory).

What waits for a connection to a brick whose line closes fails at once, not after the connect time-out.

--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -35,7 +35,7 @@
 }
 
 func newConn(f *Front, nc net.Conn) *conn {
-	x := &inbox{r: nc, now: f.o.Loop.Now}
+	x := &inbox{r: nc, now: f.o.Loop.Now, room: &f.room}
 	return &conn{front: f, nc: nc, inbox: x, in: http1.NewReader(x), answers: make(chan hostloop.Answer, 1), by: time.Now().Add(whole)}
 }
 
@@ -44,6 +44,7 @@
 func (c *conn) run() {
 	defer c.front.end(c)
 	defer c.nc.Close()
+	defer c.inbox.close()
 	c.nc.SetReadDeadline(c.by)
 	for {
 		err := c.in.Await()
@@ -53,6 +54,9 @@
 			}
 			return
 		}
+		if err == errCut {
+			c.part()
+		}
 		if err != nil {
 			return
 		}
@@ -180,14 +184,6 @@
 			}
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
-		case err == errFull:
-			select {
-			case a := <-c.answers:
-				c.answers <- a
-				return nil
-			case <-c.front.o.Loop.Done():
-				return err
-			}
 		default:
 			return err
 		}
@@ -257,6 +253,9 @@
 	case errors.As(err, &wrong):
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		wrong = &http1.Error{Status: 408, What: "not whole in time"}
+	case errors.Is(err, errCut):
+		c.part()
+		return false
 	default:
 		return false // it broke off
 	}
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -29,7 +29,8 @@
 type Options struct {
 	Loop     Loop
 	Settings policy.Settings
-	Most     int // connections at a time
+	Most     int   // connections at a time
+	Ahead    int64 // bytes kept at a time, of all that came before their turn
 	Log      *slog.Logger
 }
 
@@ -68,6 +69,7 @@
 	ready  atomic.Bool
 	ending atomic.Bool  // every answer is the last on its connection
 	until  atomic.Int64 // on the loop's clock: every command must have its answer by then; 0: no such time
+	room   atomic.Int64 // left of Ahead
 	wg     sync.WaitGroup
 
 	mu        sync.Mutex
@@ -88,6 +90,7 @@
 // New makes a front.
 func New(o Options) *Front {
 	f := &Front{o: o, queues: map[string]policy.QueueType{}, plans: map[string]bool{}, conns: map[*conn]bool{}}
+	f.room.Store(o.Ahead)
 	for _, q := range o.Settings.QueueTypes {
 		f.queues[q.Name] = q
 	}
--- a/internal/platform/front/inbox.go
+++ b/internal/platform/front/inbox.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,8 @@
 	given int64  // bytes handed on so far
 	marks []mark // of the stretches that hold kept or lately given bytes, oldest first
 	err   error  // of the connection, for good
+	cut   bool   // more came than could be kept: the connection ends where kept ends
+	room  *atomic.Int64
 }
 
 // mark is a stretch of bytes that came at a time.
@@ -25,18 +28,20 @@
 }
 
 const (
-	mostKept = 64 << 10 // of one connection; what is beyond waits in the kernel's buffers
+	mostKept = 256 << 10 // of one connection
+	ownKept  = 16 << 10  // of that, without taking from the room that all share
 	piece    = 4 << 10
 	mostMark = 64 // beyond these a stretch counts from when the one before it came
 )
 
-var errFull = errors.New("as much as may be kept")
+var errCut = errors.New("more was sent at once than may be kept")
 
 // Read hands on what is kept, then what comes.
 func (x *inbox) Read(p []byte) (int, error) {
 	if len(x.kept) > 0 {
 		n := copy(p, x.kept)
 		x.given += int64(n)
+		x.take(-n)
 		if x.kept = x.kept[n:]; len(x.kept) == 0 {
 			x.kept = nil
 		}
@@ -45,27 +50,44 @@
 	if x.err != nil {
 		return 0, x.err
 	}
+	if x.cut {
+		return 0, errCut
+	}
 	n, err := x.r.Read(p)
 	x.came(x.given, n, err)
 	x.given += int64(n)
 	return n, err
 }
 
-// ahead waits for bytes and keeps them.
+// ahead waits for bytes and keeps them. What there is no room for is dropped, and with it all that follows: only so is a
+// client noticed that sends much and goes.
 func (x *inbox) ahead() error {
 	if x.err != nil {
 		return x.err
 	}
-	if len(x.kept) >= mostKept {
-		return errFull
-	}
 	var b [piece]byte
 	n, err := x.r.Read(b[:])
 	x.came(x.given+int64(len(x.kept)), n, err)
-	x.kept = append(x.kept, b[:n]...)
+	if x.cut = x.cut || n > 0 && !x.fits(n); !x.cut {
+		x.take(n)
+		x.kept = append(x.kept, b[:n]...)
+	}
 	return err
 }
 
+func (x *inbox) fits(n int) bool {
+	n += len(x.kept)
+	return n <= ownKept || n <= mostKept && x.room.Load() >= piece
+}
+
+// take counts n more bytes as kept, or fewer.
+func (x *inbox) take(n int) {
+	x.room.Add(int64(max(len(x.kept)-ownKept, 0) - max(len(x.kept)+n-ownKept, 0)))
+}
+
+// close gives back the room of what was kept.
+func (x *inbox) close() { x.take(-len(x.kept)) }
+
 func (x *inbox) came(from int64, n int, err error) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		x.err = err
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -101,7 +101,8 @@
 const (
 	aside       = 24
 	clientsPart = 0.55
-	bodiesPart  = 6 // of the memory, for answers on their way
+	bodiesPart  = 6  // of the memory, for answers on their way
+	aheadPart   = 16 // of the memory, for requests before their turn
 	loopQueue   = 4096
 	untold      = time.Second // that a new host waits for its agent's first word before it is ready
 )
@@ -151,7 +152,8 @@
 		h.loop.First(func(core *hostloop.Core) { core.Told(l.Whole, l.Lines) })
 	}})
 	spawn(func() { w.Run(inner) })
-	f := front.New(front.Options{Loop: h.loop, Settings: c.Settings, Most: clients, Log: h.Log})
+	f := front.New(front.Options{Loop: h.loop, Settings: c.Settings, Most: clients, Log: h.Log,
+		Ahead: int64(c.Limits.MemoryMB) << 20 / aheadPart})
 	spawn(func() { f.Serve(l) })
 	spawn(func() { // what the agent has counts from the first moment on; while it is silent the known list must do
 		select {
--- a/internal/platform/pool/pool.go
+++ b/internal/platform/pool/pool.go
@@ -382,6 +382,9 @@
 	for _, c := range l.dialing {
 		c.kill()
 	}
+	for len(l.waiting) > 0 {
+		l.fail(l.waiting[0])
+	}
 	l.forget()
 }
 
