Once a brick has shown a late copy, connections rest 50 ms at least after an answer

TestLateCopies failed once on a busy machine (load 14): its copies, meant for 3 ms, came later than the 10 ms that a connection rests by default, and a copy seen at 3 ms had taught nothing (settle.go, margin). One seen late teaches four times its delay now, 50 ms at least. A copy later than 10 ms from a brick that has shown none yet is still taken for the next answer: see the design.

--- a/internal/platform/pool/settle/settle.go
+++ b/internal/platform/pool/settle/settle.go
@@ -8,7 +8,8 @@
 const (
 	least    = 10 * time.Millisecond  // before any copy was seen: one that comes with its answer is seen at once
 	longest  = 250 * time.Millisecond // a later one says more of the brick than of its answer
-	margin   = 2                      // copies later than the latest seen come too
+	shown    = 50 * time.Millisecond  // once a later one was seen
+	margin   = 4                      // copies later than the latest seen come too
 	halfLife = 20 * time.Second
 )
 
@@ -23,7 +24,7 @@
 
 // Stray tells that something came so long after an answer that nobody had asked for.
 func (t *Time) Stray(after, now time.Duration) {
-	if needs := min(margin*after, longest); needs >= t.Needs(now) {
+	if needs := min(max(margin*after, shown), longest); after >= least/margin && needs >= t.Needs(now) {
 		t.needs, t.at = needs, now
 	}
 }
--- a/internal/platform/pool/settle/settle_test.go
+++ b/internal/platform/pool/settle/settle_test.go
@@ -15,6 +15,7 @@
 	fmt.Println(t.Needs(now))
 	t.Stray(40*ms, now)
 	t.Stray(3*ms, now)
+	fmt.Println(t.Needs(now))
 	fmt.Println(t.Needs(now + 19*time.Second))
 	fmt.Println(t.Needs(now + 20*time.Second))
 	fmt.Println(t.Needs(now + time.Hour))
@@ -23,8 +24,9 @@
 	// Output:
 	// 10ms
 	// 10ms
+	// 160ms
+	// 160ms
 	// 80ms
-	// 40ms
 	// 10ms
 	// 250ms
 }
