What clients send in fields that the host does not know reaches the brick

Ruled out: body and path (they pass unchanged, TestThrough).

End-to-end fields pass now, known or not, as RFC 9110 7.6.1 asks of who passes a message on; hop-by-hop ones, framing and the time left are the host's own. TestFieldsPass and TestForward fail without it.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -11,8 +11,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http/httputil"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -81,6 +83,32 @@
 	return ""
 }
 
+// hopByHop fields are for the next hop alone (RFC 9110, 7.6.1), as are those that Connection names; the framing of what is
+// passed on is its sender's own.
+var hopByHop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true,
+	"Content-Length": true}
+
+// AppendForward adds the fields that whoever passes a message on has to pass on too, known to it or not, but for those
+// it sets itself.
+func (h *Head) AppendForward(b []byte, own ...string) []byte {
+	var named []string
+	for _, v := range h.fields["Connection"] {
+		for _, token := range strings.Split(v, ",") {
+			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token)))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(h.fields)) {
+		if hopByHop[name] || slices.Contains(own, name) || slices.Contains(named, name) {
+			continue
+		}
+		for _, v := range h.fields[name] {
+			b = AppendField(b, name, v)
+		}
+	}
+	return b
+}
+
 // Times is how often a field stands in the head.
 func (h *Head) Times(name string) int { return len(h.fields[name]) }
 
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// What is end to end is passed on, known or not; what is for this hop alone or framing is not, nor what its sender sets.
+func TestForward(t *testing.T) {
+	r := NewReader(strings.NewReader("PUT /a HTTP/1.1\r\nHost: h\r\nX-Mine: 1\r\nidempotency-key: k\r\nVia: a\r\nVia: b\r\n" +
+		"Connection: keep-alive, X-Hop\r\nX-Hop: 2\r\nKeep-Alive: 5\r\nTE: x\r\nExpect: y\r\nContent-Length: 0\r\n\r\n"))
+	h, err := r.Request()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := string(h.AppendForward(nil, "X-Mine")); got != "Host: h\r\nIdempotency-Key: k\r\nVia: a\r\nVia: b\r\n" {
+		t.Errorf("%q", got)
+	}
+}
+
 func TestMayStart(t *testing.T) {
 	for b, want := range map[string]bool{"": true, "G": true, "GET ": true, "PUT /a": true, "\r\nDELETE ": true, "\r": true,
 		"GETS": false, "abc": false, "get /": false, "\x00": false, "PU/": false, " GET": false, "\r\nx": false} {
--- a/internal/platform/front/request.go
+++ b/internal/platform/front/request.go
@@ -61,8 +61,7 @@
 	}
 	b := make([]byte, 0, 128+len(h.Target))
 	b = append(append(append(append(b, h.Method...), ' '), h.Target...), " HTTP/1.1\r\n"...)
-	b = http1.AppendField(http1.AppendField(b, "Host", h.Get("Host")), "X-Txn", id)
-	t.Lead = b
+	t.Lead = h.AppendForward(b, "X-Remaining-Ms")
 	return t, id, nil
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -6,9 +6,11 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"weirhaven/internal/http1"
 	"weirhaven/internal/platform/conf"
 	"weirhaven/policy"
 )
@@ -34,6 +36,33 @@
 	}
 }
 
+// Fields that this host knows nothing of reach the brick: one customer's commands carry a mark that another's lack.
+func TestFieldsPass(t *testing.T) {
+	got := make(chan string, 1)
+	l := listen(t)
+	var wg sync.WaitGroup
+	t.Cleanup(func() { l.Close(); wg.Wait() })
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := http1.NewReader(c)
+		if h, err := r.Request(); err == nil {
+			got <- h.Get("Idempotency-Key") + " " + h.Get("X-Txn") + " " + h.Get("Connection")
+			say(c, good(""))
+		}
+	}()
+	h := newHost(t, &brick{l: l})
+	want(t, h.dial(), read("a1", "Idempotency-Key: k7\r\n", "Connection: close\r\n"), 200, "")
+	if s := <-got; s != "k7 a1 " {
+		t.Errorf("%q", s)
+	}
+}
+
 // settled is how long a connection to a brick rests at least until it is used again.
 const settled = 40 * ms
 
