Nothing begins for a command after its final answer, also where settings forbid calling off

The dispatch keeps its own references now. TestGivenUpWhileConnecting fails without it.

Second connections are opened only while half of the bricks' part of the descriptors is free, so that no good idle one ends for them.

--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -379,14 +379,17 @@
 	c.settle()
 }
 
-// withdraw ends a dispatch as unsent if nothing of it has left.
-func (c *Core) withdraw(d *dispatch) {
-	if !d.over && d.to != nil && d.to.line != nil && d.to.line.Withdraw(d.id) {
-		c.later = append(c.later, func() { c.ended(d, c.now, policy.Unsent, nil, 0, 0) })
+// withdraw ends a dispatch as unsent if nothing of it has left; it tells whether that is so.
+func (c *Core) withdraw(d *dispatch) bool {
+	if d.over || d.to == nil || d.to.line == nil || !d.to.line.Withdraw(d.id) {
+		return false
 	}
+	c.later = append(c.later, func() { c.ended(d, c.now, policy.Unsent, nil, 0, 0) })
+	return true
 }
 
-// answer is the one place where a final answer goes out.
+// answer is the one place where a final answer goes out. What has not begun by then never does, whatever settings let
+// the module call off.
 func (c *Core) answer(x *command, a Answer) {
 	if x.over {
 		return
@@ -404,7 +407,11 @@
 	default:
 		c.counts.Aborted++
 	}
-	a.MayHaveRun = a.How == Aborted && (x.ran || len(x.outs) > 0)
+	a.MayHaveRun = x.ran
+	for _, d := range x.outs {
+		a.MayHaveRun = !c.withdraw(d) || a.MayHaveRun
+	}
+	a.MayHaveRun = a.MayHaveRun && a.How == Aborted
 	x.task.Answer(a)
 	x.task.Body = nil
 }
--- a/internal/platform/pool/pool.go
+++ b/internal/platform/pool/pool.go
@@ -129,6 +129,8 @@
 type job struct {
 	id    uint64
 	task  *hostloop.Task
+	lead  []byte // the task's, which drops its body with the final answer
+	body  []byte
 	held  int64 // of the budget for bodies
 	until time.Time
 	by    time.Duration   // it must begin by then, on the loop's clock; 0: any time
@@ -155,19 +157,18 @@
 
 // render is a dispatch's bytes. What it tells of the time left is true when they are written.
 func (j *job) render() []byte {
-	t := j.task
-	b := make([]byte, 0, len(t.Lead)+96+len(t.Body))
-	b = append(b, t.Lead...)
+	b := make([]byte, 0, len(j.lead)+96+len(j.body))
+	b = append(b, j.lead...)
 	b = http1.AppendField(b, "X-Remaining-Ms", strconv.FormatInt(max(time.Until(j.until).Milliseconds(), 1), 10))
-	if len(t.Body) > 0 || len(b) > 0 && b[0] == 'P' {
-		return http1.AppendEnd(b, t.Body)
+	if len(j.body) > 0 || len(b) > 0 && b[0] == 'P' {
+		return http1.AppendEnd(b, j.body)
 	}
 	return append(b, "\r\n"...)
 }
 
 // Dispatch puts a command on the settled connection used last, or on the first that is there for it.
 func (l *line) Dispatch(id uint64, t *hostloop.Task, n int, left, by time.Duration) {
-	j := &job{id: id, task: t, until: time.Now().Add(left), by: by}
+	j := &job{id: id, task: t, lead: t.Lead, body: t.Body, until: time.Now().Add(left), by: by}
 	j.ctx, j.stop = context.WithCancel(l.pool.ctx)
 	p := l.pool
 	p.mu.Lock()
@@ -207,8 +208,8 @@
 			return
 		}
 		if tries++; tries < besides {
-			if len(l.dialing) < len(l.waiting)+besides-1 {
-				l.dial()
+			if p := l.pool; len(l.dialing) < len(l.waiting)+besides-1 && p.counts.Open < p.o.Most/2 {
+				l.dial() // while there is room: no other connection ends for it
 			}
 			j.wait.Reset(wait / besides)
 			return
--- a/internal/platform/races_test.go
+++ b/internal/platform/races_test.go
@@ -66,6 +66,27 @@
 	}
 }
 
+// Where settings forbid calling off, a command that is given up while its dispatch waits for a connection: nothing is sent
+// after its final answer.
+func TestGivenUpWhileConnecting(t *testing.T) {
+	b := newBrick(t, answers)
+	h, g := gated(t, b, false)
+	c := h.dial()
+	say(c, strings.Replace(read("a1"), "Ms: 1000", "Ms: 150", 1))
+	<-g.asked
+	if s, _ := hear(c); s != 503 {
+		t.Errorf("%d, wanted 503", s)
+	}
+	h.how(policy.Unsent)
+	for range 4 {
+		g.let <- true
+	}
+	want(t, c, read("a2"), 200, "answer 0")
+	if s := <-b.seen; !strings.Contains(s, "a2") {
+		t.Errorf("%s was sent after its final answer", s)
+	}
+}
+
 // A drain told while a dispatch waits for a connection: it never begins there, though the connection comes up after.
 func TestDrainBeforeConnected(t *testing.T) {
 	b := newBrick(t, answers)
