--- a/internal/platform/races_test.go
+++ b/internal/platform/races_test.go
@@ -366,6 +366,48 @@
 	}
 }
 
+// fewest is a configuration of what must stand in one, and no more.
+const fewest = `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","limits":{"cores":1,"memory_mb":16,"sockets":64},
+"settings":{"limits":{"max_attempts":1,"conn_idle_us":1000000,"connect_timeout_us":200000},
+"classes":[{"name":"read","aim_us":400000,"give_up_us":1000000,"semantics":"once"}],"plans":[{"name":"plain"}]}}`
+
+// Settings that lack all that another customer's have, and the least descriptors, all taken by idle clients while the agent
+// refuses connections: the host is ready and serves, and hears the list once the agent is there.
+func TestFewest(t *testing.T) {
+	t.Parallel()
+	b, second := newBrick(t, answers), newBrick(t, answers)
+	h := aHost(t, b)
+	c, err := conf.Parse([]byte(fewest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Listen, c.Known, c.Discovery = h.config.Listen, h.config.Known, h.config.Discovery
+	h.config = c
+	h.agent.close()
+	h.start()
+	for range 60 {
+		h.dial()
+	}
+	want(t, h.dial(), read("a1"), 200, "answer 0")
+	l, err := net.Listen("tcp", c.Discovery)
+	if err != nil {
+		t.Skip("another program took the port: ", err)
+	}
+	defer l.Close()
+	agent, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	list := fmt.Sprintf(`{"revision":9,"complete":true,"members":[%s]}`, second.line("b1", 0, "in_service"))
+	say(agent, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(list), list))
+	for i, began := 0, time.Now(); len(second.seen) == 0; i++ {
+		if ask(h.dial(), read(fmt.Sprint("c", i))); time.Since(began) > 5*time.Second {
+			t.Fatal("the list is not heard")
+		}
+	}
+}
+
 // A configuration that is read while it is being written is read again.
 func TestHalfWritten(t *testing.T) {
 	file := t.TempDir() + "/c.json"
@@ -377,9 +419,7 @@
 		c, err = load(file)
 		done <- err
 	}()
-	text := `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":{"limits":` +
-		`{"max_attempts":1,"conn_idle_us":1,"connect_timeout_us":1},"classes":[{"name":"r","aim_us":1,"give_up_us":1,"semantics":"once"}],"plans":[{"name":"p"}]}}`
-	os.WriteFile(file+"2", []byte(text), 0o600)
+	os.WriteFile(file+"2", []byte(fewest), 0o600)
 	os.Rename(file+"2", file)
 	if err := <-done; err != nil || c.Name != "n" {
 		t.Error(err)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -264,8 +264,8 @@
 	return true
 }
 
-// by is until when a further dispatch may begin. Guards rule 2 where one waits for its connection: by then its
-// repeat may be forgotten.
+// by is until when a further dispatch may begin. Guards rule 2 where one waits for its connection: later its
+// mark may be forgotten.
 func (c *Command) by() (by time.Duration) {
 	for _, d := range c.dispatches {
 		if end := d.sent + c.queue.window; d.ran && c.queue.semantics == Tagged && (by == 0 || end < by) {
