A dispatch waits up to 10 ms for a connection to settle before it opens one more

Logs: n1 of calm+term opened 75 connections instead of 53 and was turned away 28 times instead of 9. pool.go, place: a dispatch that found no settled connection opened one at once, so each brick held one more of each host than it needed, and bricks hold few.

--- a/internal/platform/pool/pool.go
+++ b/internal/platform/pool/pool.go
@@ -70,6 +70,7 @@
 const (
 	besides  = 4
 	dialMost = 2 * time.Second
+	patience = 10 * time.Millisecond // until a connection has settled, rather than open one: bricks hold few
 )
 
 // New makes a pool without connections.
@@ -190,13 +191,19 @@
 		return
 	}
 	wait := l.pool.o.Connect
-	young := 0
+	coming := 0
 	for _, c := range l.dialing {
 		if time.Since(c.began) < wait/besides {
-			young++
+			coming++
 		}
 	}
-	if young < len(l.waiting) && len(l.dialing) < len(l.waiting)+besides-1 && !l.dial() && len(l.dialing)+len(l.idle) == 0 {
+	rest := l.pool.calm.Needs(l.pool.o.Loop.Now())
+	for _, c := range l.idle {
+		if rest-time.Since(c.since) <= patience {
+			coming++
+		}
+	}
+	if coming < len(l.waiting) && len(l.dialing) < len(l.waiting)+besides-1 && !l.dial() && len(l.dialing)+len(l.idle) == 0 {
 		l.fail(j)
 		return
 	}
