--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -36,7 +36,7 @@
 
 func newConn(f *Front, nc net.Conn) *conn {
 	x := &inbox{r: nc, now: f.o.Loop.Now, room: &f.room}
-	return &conn{front: f, nc: nc, inbox: x, in: http1.NewReader(x), answers: make(chan hostloop.Answer, 1), by: time.Now().Add(whole)}
+	return &conn{front: f, nc: nc, inbox: x, in: http1.NewReader(x), answers: make(chan hostloop.Answer, 1), by: time.Now().Add(requestTimeout)}
 }
 
 var longAgo = time.Unix(1, 0)
@@ -48,29 +48,29 @@
 	c.nc.SetReadDeadline(c.by)
 	for {
 		err := c.in.Await()
-		if !c.front.put(c, reading) {
+		if !c.front.put(c, placeReading) {
 			if c.retired {
-				c.part()
+				c.lingeringClose()
 			}
 			return
 		}
 		if err == errCut {
-			c.part()
+			c.lingeringClose()
 		}
 		if err != nil {
 			return
 		}
 		arrived := c.inbox.arrived(c.in.Buffered())
 		if c.by.IsZero() {
-			c.by = time.Now().Add(whole)
+			c.by = time.Now().Add(requestTimeout)
 			c.nc.SetReadDeadline(c.by)
 		}
 		if !c.request(arrived) {
 			return
 		}
 		c.by = time.Time{}
-		c.nc.SetReadDeadline(time.Now().Add(quiet))
-		if !c.front.put(c, resting) {
+		c.nc.SetReadDeadline(time.Now().Add(idleTimeout))
+		if !c.front.put(c, placeResting) {
 			return
 		}
 	}
@@ -96,7 +96,7 @@
 		return c.fault(err)
 	}
 	if h.Get("Expect") == "100-continue" && c.in.Buffered() == 0 {
-		c.nc.SetWriteDeadline(time.Now().Add(write))
+		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	if t.Body, err = c.in.Body(h, maxBody); err != nil {
@@ -115,7 +115,7 @@
 // command hands a task to the loop and passes its answer on.
 func (c *conn) command(t *hostloop.Task, id string) bool {
 	f := c.front
-	if !f.put(c, none) {
+	if !f.put(c, placeNone) {
 		return false
 	}
 	if !f.ids.take(id) {
@@ -160,7 +160,7 @@
 	a := <-c.answers
 	f.ids.free(id, true)
 	defer c.free()
-	c.until = time.Now().Add(max(t.Arrived+t.Timeout-f.o.Loop.Now(), 0) + write)
+	c.until = time.Now().Add(max(t.Arrived+t.Timeout-f.o.Loop.Now(), 0) + writeTimeout)
 	return c.answer(a)
 }
 
@@ -233,7 +233,7 @@
 		b = http1.AppendField(b, "Connection", "close")
 	}
 	if c.until.IsZero() {
-		c.until = time.Now().Add(write)
+		c.until = time.Now().Add(writeTimeout)
 	}
 	c.nc.SetWriteDeadline(c.until)
 	c.until = time.Time{}
@@ -241,7 +241,7 @@
 		return false
 	}
 	if last {
-		c.part()
+		c.lingeringClose()
 	}
 	return !last
 }
@@ -254,7 +254,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		wrong = &http1.Error{Status: 408, What: "not whole in time"}
 	case errors.Is(err, errCut):
-		c.part()
+		c.lingeringClose()
 		return false
 	default:
 		return false // it broke off
@@ -263,13 +263,13 @@
 	return c.write(wrong.Status, "", nil, true)
 }
 
-// part ends a connection so that its last answer is read: nothing more is sent, a bounded rest is read.
-func (c *conn) part() {
+// lingeringClose ends a connection so that its last answer is read: nothing more is sent, a bounded rest is read.
+func (c *conn) lingeringClose() {
 	if t, ok := c.nc.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	c.front.put(c, parting)
-	rest := linger
+	c.front.put(c, placeLingering)
+	rest := lingerTimeout
 	if until := time.Duration(c.front.until.Load()); until > 0 {
 		rest = min(rest, max(until-c.front.o.Loop.Now(), 0))
 	}
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -36,29 +36,29 @@
 
 // Times of a connection. All are absolute from an event that the client can't repeat at will.
 const (
-	whole  = 2 * time.Second        // from the accept, or a request's first byte, until it is there whole
-	quiet  = 10 * time.Second       // a served connection without a request
-	write  = 2 * time.Second        // until an answer is taken, beyond its command timeout
-	linger = 500 * time.Millisecond // what is still sent is read and dropped, so that the answer is not lost to a reset
-	least  = 100 * time.Millisecond // of that, also where room is wanted
+	requestTimeout = 2 * time.Second        // from the accept, or a request's first byte, until it is there whole
+	idleTimeout    = 10 * time.Second       // a served connection without a request
+	writeTimeout   = 2 * time.Second        // until an answer is taken, beyond its command timeout
+	lingerTimeout  = 500 * time.Millisecond // what is still sent is read and dropped, so that the answer is not lost to a reset
+	lingerLeast    = 100 * time.Millisecond // of that, also where room is wanted
 )
 
 // Places of connections that hold no command.
 const (
-	parting = iota // their last answer is out
-	fresh          // without a request so far
-	resting        // between requests
-	reading        // a request is not whole yet
-	none    = -1
+	placeLingering = iota // their last answer is out
+	placeFresh            // without a request so far
+	placeResting          // between requests
+	placeReading          // a request is not whole yet
+	placeNone      = -1
 )
 
-// toll is the order in which they make room, each from an age on: a usual client asks as soon as it has connected, so one
-// that just came goes after those that have nothing to say.
-var toll = []struct {
+// evictionOrder is how they make room, each from an age on: a usual client asks as soon as it has connected, so one that
+// just came goes after those that have nothing to say.
+var evictionOrder = []struct {
 	place int
 	age   time.Duration
-}{{parting, least}, {resting, 2 * time.Second}, {fresh, 500 * time.Millisecond}, {reading, time.Second}, {resting, 0},
-	{fresh, 0}, {reading, 0}, {parting, 0}}
+}{{placeLingering, lingerLeast}, {placeResting, 2 * time.Second}, {placeFresh, 500 * time.Millisecond}, {placeReading, time.Second}, {placeResting, 0},
+	{placeFresh, 0}, {placeReading, 0}, {placeLingering, 0}}
 
 // Front is the clients' side of a host.
 type Front struct {
@@ -136,7 +136,7 @@
 			continue
 		}
 		f.conns[c] = true
-		c.place, c.since = f.places[fresh].PushBack(c), time.Now()
+		c.place, c.since = f.places[placeFresh].PushBack(c), time.Now()
 		f.mu.Unlock()
 		f.wg.Add(1)
 		go func() {
@@ -154,7 +154,7 @@
 
 // evictOne closes the connection that can best be done without. Under mu.
 func (f *Front) evictOne() bool {
-	for _, t := range toll {
+	for _, t := range evictionOrder {
 		if f.evictFrom(&f.places[t.place], t.age) {
 			f.counts.Evicted++
 			return true
@@ -173,7 +173,7 @@
 		return false
 	}
 	delete(f.conns, c)
-	if l == &f.places[resting] && f.lingering < mostLingering {
+	if l == &f.places[placeResting] && f.lingering < mostLingering {
 		f.lingering++
 		c.lingers = true
 		f.retire(c)
@@ -196,7 +196,7 @@
 	c.nc.SetReadDeadline(longAgo) // wakes its goroutine
 }
 
-// put marks what a connection does; none: it holds a command. false: it was closed to make room.
+// put marks what a connection does; placeNone: it holds a command. false: it was closed to make room.
 func (f *Front) put(c *conn, place int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -204,7 +204,7 @@
 	if c.evicted {
 		return false
 	}
-	if place != none {
+	if place != placeNone {
 		c.place, c.since = f.places[place].PushBack(c), time.Now()
 	}
 	return true
@@ -277,7 +277,7 @@
 func (f *Front) clear() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, l := range []*list.List{&f.places[fresh], &f.places[resting]} {
+	for _, l := range []*list.List{&f.places[placeFresh], &f.places[placeResting]} {
 		for l.Len() > 0 {
 			f.retire(l.Front().Value.(*conn))
 		}
