--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -88,7 +88,6 @@
 	Log    *slog.Logger
 	Start  func(policy.Host, policy.Settings) hostloop.Decider
 	State  time.Duration
-	Spare  time.Duration // before the platform may kill the host, all is answered; 0: usualSpare
 	Up     func(net.Addr)
 	Dial   func(ctx context.Context, address string) (net.Conn, error) // to bricks; nil: TCP
 
@@ -110,10 +109,10 @@
 // Once the end is told the platform kills a host no sooner than after the longest command timeout, killWait at most, and
 // killGrace. It is out of service until then however soon it ends, so it serves those who are still connected.
 const (
-	killWait   = 3 * time.Second
-	killGrace  = 700 * time.Millisecond
-	usualSpare = 250 * time.Millisecond
-	lastCalls  = 250 * time.Millisecond // before that: connections end with their answers
+	killWait  = 3 * time.Second
+	killGrace = 700 * time.Millisecond
+	spare     = 250 * time.Millisecond // before that all is answered
+	lastCalls = 250 * time.Millisecond // before that: connections end with their answers
 )
 
 // Run serves until ctx ends, then ends what it holds.
@@ -182,10 +181,6 @@
 		}
 	})
 	<-ctx.Done()
-	spare := h.Spare
-	if spare == 0 {
-		spare = usualSpare
-	}
 	killed := min(longest(c.Settings), killWait) + killGrace
 	h.Log.Info("stopping: served as ever for a while, then what is held gets its answer", "killed after", killed)
 	bound, cancel := context.WithTimeout(inner, longest(c.Settings)+killGrace+time.Second)
