--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -87,6 +87,26 @@
 	}
 }
 
+// oneRequest is a brick that answers one request and hands its head to the test.
+func oneRequest(t *testing.T) (*brick, chan *http1.Head) {
+	b, heads := &brick{l: listen(t)}, make(chan *http1.Head, 1)
+	t.Cleanup(func() { b.l.Close(); b.wg.Wait() })
+	b.wg.Add(1)
+	go func() {
+		defer b.wg.Done()
+		c, err := b.l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if h, err := http1.NewReader(c).Request(); err == nil {
+			heads <- h
+			say(c, good(""))
+		}
+	}()
+	return b, heads
+}
+
 func listen(t *testing.T) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/platform/watch/watch_test.go
+++ b/internal/platform/watch/watch_test.go
@@ -104,6 +104,16 @@
 	}
 }
 
+// silentAgent has told one list and then nothing.
+func silentAgent(t *testing.T) (*agent, chan conf.List, net.Conn) {
+	a := newAgent(t)
+	_, told := watching(t, a)
+	first := a.next("7")
+	begin(first, list(8))
+	hears(t, told, 8)
+	return a, told, first
+}
+
 // A list may be spread over lines and pieces, empty lines within; one that the end cut is dropped and asked for again.
 func TestIndented(t *testing.T) {
 	a := newAgent(t)
@@ -124,11 +134,7 @@
 // The agent falls silent on the open watch, and stays mute on the next: what a later one hears counts within 6 s of the
 // first silence. The older ones stay open until another speaks.
 func TestSilent(t *testing.T) {
-	a := newAgent(t)
-	_, told := watching(t, a)
-	first := a.next("7")
-	begin(first, list(8))
-	hears(t, told, 8)
+	a, told, first := silentAgent(t)
 	silent := time.Now()
 	mute := a.next("8")
 	third := a.next("8")
@@ -147,11 +153,7 @@
 
 // The watch that fell silent speaks again before the new one does: it is heard, and the new one's word does not count.
 func TestSpeaksAgain(t *testing.T) {
-	a := newAgent(t)
-	_, told := watching(t, a)
-	first := a.next("7")
-	begin(first, list(8))
-	hears(t, told, 8)
+	a, told, first := silentAgent(t)
 	second := a.next("8")
 	chunk(first, list(9))
 	hears(t, told, 9)
