--- /dev/null
+++ b/internal/platform/starts_test.go
@@ -0,0 +1,37 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"weirhaven/internal/hostloop"
+)
+
+// A server that restarts while it is watched is cold, whatever the wall clock says of its start: the clock may have been
+// stepped by an hour, so that a start of this moment seems an hour old.
+func TestStartAfterClockStep(t *testing.T) {
+	t.Parallel()
+	hold := make(chan bool)
+	b := newBrick(t, func(c net.Conn, n int) bool { <-hold; return answers(c, n) })
+	t.Cleanup(func() { close(hold) })
+	h := aHost(t, b)
+	s := &h.config.Settings
+	s.ColdFrom, s.ColdFor, s.ColdUnits, s.FallMultiple, s.FallAfter = 0.2, 10*time.Second, 4, 2, time.Second
+	h.config.Known.Lines = []hostloop.BrickLine{{Name: "b0", Address: b.l.Addr().String(), Serving: true,
+		Started: time.Duration(time.Now().Add(-24 * time.Hour).UnixNano())}}
+	h.start()
+	time.Sleep(s.FallAfter) // a host that has just started sends nothing to servers that it may have filled before
+	started := time.Now().Add(-time.Hour).UnixMilli()
+	h.agent.lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[{"id":"b0","host_port":%q,"locality":"a","cell":0,"phase":"in_service","up_since_ms":%d}]}`,
+		b.l.Addr(), started)
+	time.Sleep(300 * ms)
+	for i := range 16 {
+		say(h.dial(), read(fmt.Sprint("a", i)))
+	}
+	time.Sleep(300 * ms)
+	if n := len(b.seen); n > 2 {
+		t.Errorf("%d requests reached a server that had just started, which bears 2 from this host", n)
+	}
+}
--- a/internal/platform/watch/watch_test.go
+++ b/internal/platform/watch/watch_test.go
@@ -205,3 +205,23 @@
 		t.Errorf("heard after %v", d)
 	}
 }
+
+// An agent that takes longer to answer than the watch waits between two tries is heard all the same.
+func TestSlowAgent(t *testing.T) {
+	a := newAgent(t)
+	_, told := watching(t, a)
+	done := make(chan bool)
+	t.Cleanup(func() { <-done })
+	go func() {
+		defer close(done)
+		for range 3 {
+			select {
+			case c := <-a.came:
+				time.AfterFunc(3500*time.Millisecond, func() { begin(c, list(8)) })
+			case <-time.After(5 * time.Second):
+				return
+			}
+		}
+	}()
+	hears(t, told, 8)
+}
