Starts of servers are dated on the process's clock; an agent that answers slowly is heard

Cause: a start was taken as wall-clock time, so a step of the clock made a server that had just restarted an hour old, and warm; the watch ended its oldest try after 3 s, so an agent that takes longer was never heard. Change: platform/starts dates a start by the younger of both clocks once they differ, never in the future, and not before the last list that had the former start where discovery can't have been that late. Four tries 1.5 s apart, each 6 s long.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,6 +23,7 @@
 	"weirhaven/internal/platform/front"
 	"weirhaven/internal/platform/observe"
 	"weirhaven/internal/platform/pool"
+	"weirhaven/internal/platform/starts"
 	"weirhaven/internal/platform/watch"
 	"weirhaven/policy"
 )
@@ -137,7 +138,8 @@
 	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: connect, Idle: c.Idle / 2, Log: h.Log, Observe: h.observe, Dial: h.Dial,
 		Bodies: int64(c.Limits.MemoryMB) << 20 / bodiesPart})
 	core := hostloop.New(c.Settings, decide.Rules{}, h.Start, ways{h}, nil, time.Second, h.loop.Now())
-	core.Told(true, c.Known.Lines)
+	dates := starts.New() // used in the loop only, once that runs
+	core.Told(true, dates.Date(true, c.Known.Lines, h.times(-1)))
 	inner, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
 	var wg sync.WaitGroup
@@ -150,8 +152,9 @@
 	}
 	spawn(func() { h.loop.Run(inner, core) })
 	current := make(chan struct{})
-	w := watch.New(watch.Options{Address: c.Discovery, Last: c.Known.Revision, Log: h.Log, Current: func() { close(current) }, Told: func(l conf.List) {
-		h.loop.First(func(core *hostloop.Core) { core.Told(l.Whole, l.Lines) })
+	w := watch.New(watch.Options{Address: c.Discovery, Last: c.Known.Revision, Log: h.Log, Current: func() { close(current) }, Told: func(l conf.List, quiet time.Duration) {
+		at := h.times(quiet)
+		h.loop.First(func(core *hostloop.Core) { core.Told(l.Whole, dates.Date(l.Whole, l.Lines, at)) })
 	}})
 	spawn(func() { w.Run(inner) })
 	f := front.New(front.Options{Loop: h.loop, Settings: c.Settings, MaxConnections: clients, Log: h.Log, Observe: h.observe,
@@ -198,6 +201,15 @@
 	return nil
 }
 
+// times reads the clocks for a list that comes after the agent was quiet for so long; -1: it was not heard before.
+func (h *Host) times(quiet time.Duration) starts.Times {
+	t := starts.Times{Now: h.loop.Now(), Wall: time.Duration(time.Now().UnixNano())}
+	if quiet >= 0 {
+		t.Confirmed = t.Now - quiet
+	}
+	return t
+}
+
 func longest(s policy.Settings) (d time.Duration) {
 	for _, q := range s.QueueTypes {
 		d = max(d, q.CommandTimeout)
--- /dev/null
+++ b/internal/platform/starts/starts.go
@@ -0,0 +1,77 @@
+// Package starts dates the starts of servers on the clock of this process. Discovery tells a start as a wall-clock time, and
+// wall clocks may be stepped by an hour; how long a server has been up is a span of real time that must not move with them.
+// It has no clock and no I/O, and is not safe for concurrent use.
+package starts
+
+import (
+	"time"
+
+	"weirhaven/internal/hostloop"
+)
+
+// Times are the readings that belong to one list.
+type Times struct {
+	Now       time.Duration // on the process's clock, which began as a wall clock and is monotonic since
+	Wall      time.Duration // the wall clock now, as Unix time
+	Confirmed time.Duration // on the process's clock: until then the list before this one was known to hold; 0: not known
+}
+
+// stepped is by how much the wall clock and the process's clock must differ to be told apart: less is slewing and scheduling.
+const stepped = 100 * time.Millisecond
+
+// tellWithin is how long discovery may take to tell of a restart. One that seems to lie further before the list that still
+// had the former start can't be: the wall clock is off.
+const tellWithin = 6 * time.Second
+
+// Dates remembers what was told of each server, and when it started by the process's clock.
+type Dates struct {
+	servers map[string]date
+}
+
+type date struct {
+	told  time.Duration // as discovery told it; 0: long ago
+	start time.Duration // on the process's clock; 0: long ago
+}
+
+// New returns a Dates that knows no server.
+func New() *Dates { return &Dates{servers: map[string]date{}} }
+
+// Date returns the lines of a list with their starts on the process's clock. A server that has gone is forgotten.
+func (d *Dates) Date(whole bool, lines []hostloop.BrickLine, t Times) []hostloop.BrickLine {
+	known := d.servers
+	if whole {
+		d.servers = map[string]date{}
+	}
+	dated := make([]hostloop.BrickLine, len(lines))
+	for i, line := range lines {
+		before, listed := known[line.Name]
+		switch {
+		case line.Gone:
+			delete(d.servers, line.Name)
+		case listed && before.told == line.Started:
+			d.servers[line.Name] = before
+			line.Started = before.start
+		default:
+			start := startOf(line.Started, listed, t)
+			d.servers[line.Name] = date{line.Started, start}
+			line.Started = start
+		}
+		dated[i] = line
+	}
+	return dated
+}
+
+// startOf dates a start that was not told before.
+func startOf(told time.Duration, restarted bool, t Times) time.Duration {
+	if told == 0 {
+		return 0
+	}
+	start := told
+	if offset := t.Wall - t.Now; offset < -stepped || offset > stepped {
+		start = max(told, told-offset) // by whichever clock it is younger: the start was told before or after the step
+	}
+	if restarted && start < t.Confirmed-tellWithin {
+		start = t.Confirmed
+	}
+	return min(start, t.Now)
+}
--- a/internal/platform/watch/watch.go
+++ b/internal/platform/watch/watch.go
@@ -23,19 +23,20 @@
 // Options are what a watch is made with.
 type Options struct {
 	Address string
-	Last    int64 // the version held so far
-	Told    func(conf.List)
-	Current func() // once: the agent has told what it has; may be nil
+	Last    int64                                  // the version held so far
+	Told    func(l conf.List, quiet time.Duration) // quiet: since the list before was last confirmed; -1: never
+	Current func()                                 // once: the agent has told what it has; may be nil
 	Log     *slog.Logger
 }
 
 // What discovery changed must be known 6 s after the agent fell silent, whatever happened meanwhile. One clock counts from
-// the last word heard, through all tries: the agent speaks every 2 s, so another try begins soon after that, and one more
-// every second; the older ones stay open, since one of them may speak first. Nothing else depends on how a try hangs.
+// the last word heard, through all tries: the agent speaks every 2 s, so another try begins soon after that, and then one
+// more every again; the older ones stay open, since one of them may speak first, each for most x again at least: an agent
+// that is slow to answer is heard too. Nothing else depends on how a try hangs.
 const (
 	doubt   = 2500 * time.Millisecond // of silence until a second try begins
-	again   = time.Second             // until one more begins
-	most    = 3                       // tries at a time; the oldest ends for one more
+	again   = 1500 * time.Millisecond // until one more begins
+	most    = 4                       // tries at a time; the oldest ends for one more
 	connect = 2 * time.Second
 	soonest = 10 * time.Millisecond // between two tries that failed
 	latest  = 250 * time.Millisecond
@@ -102,6 +103,7 @@
 	words := make(chan word)
 	var tries []*try
 	last, wait, up, heard := w.o.Last, soonest, true, time.Now()
+	var confirmed time.Time // what was told last was known to hold then; zero: nothing was told
 	begin := func() {
 		if len(tries) == most {
 			tries[0].stop()
@@ -161,17 +163,28 @@
 				next.Reset(doubt)
 				if x.list != nil {
 					last = x.list.Revision
-					w.o.Told(*x.list)
+					w.o.Told(*x.list, since(confirmed))
 				}
-				if (x.list != nil || x.blank) && w.o.Current != nil {
-					w.o.Current()
-					w.o.Current = nil
+				if x.list != nil || x.blank {
+					confirmed = heard
+					if w.o.Current != nil {
+						w.o.Current()
+						w.o.Current = nil
+					}
 				}
 			}
 		}
 	}
 }
 
+// since is how long ago a time was, -1 for none.
+func since(t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t)
+}
+
 func tell(ctx context.Context, words chan<- word, x word) bool {
 	select {
 	case words <- x:
--- a/internal/platform/watch/watch_test.go
+++ b/internal/platform/watch/watch_test.go
@@ -84,7 +84,7 @@
 func watching(t *testing.T, a *agent) (*Watch, chan conf.List) {
 	t.Parallel()
 	told := make(chan conf.List, 100)
-	w := New(Options{Address: a.l.Addr().String(), Last: 7, Log: slog.New(slog.DiscardHandler), Told: func(l conf.List) { told <- l }})
+	w := New(Options{Address: a.l.Addr().String(), Last: 7, Log: slog.New(slog.DiscardHandler), Told: func(l conf.List, _ time.Duration) { told <- l }})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan bool)
 	go func() { w.Run(ctx); close(done) }()
