Soak: gateway processes on loopback under overlapping troubles, judged by the invariants

Need: rare events that meet are found by playing them together, on real sockets and processes. weirctl soak starts the program some dozen times, with servers behind a misbehaving proxy, an agent for each process and clients that misbehave; a menu of 26 troubles, at most three at a time. Judged by the audit (which gains the time told), by the attempts' times against what the clients had left, and by the processes' own counters.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -45,6 +45,7 @@
 	Capture  captureCmd  `cmd:"" help:"The load that hosts record."`
 	Object   objectCmd   `cmd:"" help:"Objects, over a host's object API."`
 	Plan     planCmd     `cmd:"" help:"The planner."`
+	Soak     soakCmd     `cmd:"" help:"Gateway processes under load and overlapping troubles; exits 1 if an invariant was broken."`
 	Keys     struct {
 		Make keysMake `cmd:"" help:"Make keys and certificates, for tests and first installations."`
 	} `cmd:"" help:"Keys between the programs."`
--- /dev/null
+++ b/internal/ctl/soak.go
@@ -0,0 +1,58 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"weirhaven/internal/soak"
+)
+
+// soakCmd runs gateway processes under load and overlapping troubles, and judges the invariants.
+type soakCmd struct {
+	Seed      int64         `help:"Draws the script." default:"1"`
+	Processes int           `help:"Gateway processes." default:"30"`
+	Length    time.Duration `help:"How long the load lasts." default:"60s"`
+	Menu      []string      `help:"Play only these troubles (repeatable); all if absent. 'list' prints their names."`
+	Program   string        `help:"The gateway's program; weiredge beside this one if absent." type:"path"`
+	Folder    string        `help:"Where configurations and logs go; a temporary folder if absent." type:"path"`
+}
+
+// exitViolations is the exit status of a run in which an invariant was broken.
+const exitViolations = 1
+
+func (c *soakCmd) Run() error {
+	if len(c.Menu) == 1 && c.Menu[0] == "list" {
+		for _, name := range soak.Names() {
+			fmt.Println(name)
+		}
+		return nil
+	}
+	program := c.Program
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		program = filepath.Join(filepath.Dir(self), "weiredge")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	report, err := soak.Run(ctx, soak.Options{Seed: c.Seed, Processes: c.Processes, Length: c.Length, Menu: c.Menu, Program: []string{program, "platform"},
+		Folder: c.Folder, Out: os.Stdout})
+	if err != nil {
+		return err
+	}
+	for _, v := range report.Violations {
+		fmt.Println(v)
+	}
+	fmt.Println(report)
+	if len(report.Violations) > 0 {
+		os.Exit(exitViolations)
+	}
+	return nil
+}
--- a/internal/platform/starts_test.go
+++ b/internal/platform/starts_test.go
@@ -23,7 +23,7 @@
 		Started: time.Duration(time.Now().Add(-24 * time.Hour).UnixNano())}}
 	h.start()
 	time.Sleep(s.FallAfter) // a host that has just started sends nothing to servers that it may have filled before
-	h.agent.tell(8, false) // nothing has changed until here
+	h.agent.tell(8, false)  // nothing has changed until here
 	started := time.Now().Add(-time.Hour).UnixMilli()
 	h.agent.lines <- fmt.Sprintf(`{"revision":9,"complete":false,"members":[{"id":"b0","host_port":%q,"locality":"a","cell":0,"phase":"in_service","up_since_ms":%d}]}`,
 		b.l.Addr(), started)
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"weirhaven/internal/audit"
+	"weirhaven/internal/wpb"
+)
+
+const (
+	// heldUp is how long a process may be held up between reading its clock and writing.
+	heldUp = 150 * time.Millisecond
+	// blur is how late the observer may see what happened, on a machine that runs the whole fleet.
+	blur = 150 * time.Millisecond
+	// leftGrace is how long after its client left an attempt may begin.
+	leftGrace = 100 * time.Millisecond
+)
+
+// judge judges the whole record, and the processes' own checks.
+func (r *run) judge() *Report {
+	seen := r.rec.All()
+	verdict := audit.Judge(header(r.options.Seed, len(r.processes)), seen)
+	for rule, breach := range verdict.First {
+		if breach != nil {
+			detail := fmt.Sprintf("%s, %d times; first: %s", audit.Rules[rule], verdict.Breaches[rule], breach.What)
+			for _, line := range breach.Trace {
+				detail += "\n    " + line
+			}
+			r.violated(Violation{Rule: fmt.Sprintf("rule %d", rule), At: breach.At, Detail: detail, Process: "-", Log: r.folder})
+		}
+	}
+	r.judgeTimes(seen)
+	for _, p := range r.processes {
+		r.violations = append(r.violations, p.counters()...)
+	}
+	return &Report{Seed: r.options.Seed, Processes: len(r.processes), Requests: verdict.Sums.Asked, Completed: verdict.Sums.Completed, Troubles: r.troubles.played,
+		Overlapping: r.troubles.overlapping, Violations: r.violations}
+}
+
+// judgeTimes checks each attempt against the time that its client had left, and against the moment at which it left.
+func (r *run) judgeTimes(seen []*wpb.Seen) {
+	asked := map[uint64]*wpb.Seen{}
+	for _, s := range seen {
+		switch s.What {
+		case wpb.Seen_ASKED:
+			asked[s.Command] = s
+		case wpb.Seen_REACHED:
+			if q := asked[s.Command]; q != nil {
+				r.judgeAttempt(q, s)
+			}
+		}
+	}
+}
+
+func (r *run) judgeAttempt(asked, reached *wpb.Seen) {
+	at := time.Duration(reached.At)
+	left := time.Duration(asked.At+asked.Timeout) - at
+	found := func(rule, format string, args ...any) {
+		p := r.processes[asked.Host]
+		r.violated(Violation{Rule: rule, Request: asked.Command, Process: p.name(), At: at, Detail: fmt.Sprintf(format, args...), Log: p.file(".log")})
+	}
+	if told := time.Duration(reached.Timeout); told > max(left, 0)+heldUp+blur {
+		found("deadline told", "%v, but its client had %v left", told, left)
+	}
+	if left < -heldUp-blur {
+		found("sent in time", "an attempt reached %s %v after the deadline", reached.Brick, -left)
+	}
+	r.load.mu.Lock()
+	leftAt, hasLeft := r.load.left[asked.Command]
+	r.load.mu.Unlock()
+	if hasLeft && at > leftAt+leftGrace+heldUp+blur {
+		found("sent in time", "an attempt reached %s %v after its client had left", reached.Brick, at-leftAt)
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,301 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"weirhaven/internal/standin/agent"
+	"weirhaven/internal/wpb"
+)
+
+// process is one gateway process and its agent.
+type process struct {
+	r           *run
+	number      int
+	address     string
+	incarnation atomic.Uint32
+	serving     atomic.Bool
+
+	mu     sync.Mutex
+	agent  *agent.Agent
+	cmd    *exec.Cmd
+	exited chan struct{}
+	exit   error
+	ended  bool // by this run
+
+	known struct {
+		sync.Mutex
+		told map[string]int64 // by server: what was told last, as a mark
+	}
+}
+
+// tellWithin is when a change counts as told at the latest, whether it arrived or not, after it could be reached.
+const (
+	tellWithin   = 6 * time.Second
+	reloadWithin = 4 * time.Second
+	startTimeout = 10 * time.Second
+)
+
+func (p *process) name() string { return fmt.Sprintf("g-%d", p.number) }
+
+func (p *process) file(kind string) string {
+	return filepath.Join(p.r.folder, p.name()+kind)
+}
+
+func (r *run) startProcesses() error {
+	for i := range r.options.Processes {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		p := &process{r: r, number: i, address: address}
+		p.known.told = map[string]int64{}
+		if p.agent, err = r.discovery.Listen(p.told); err != nil {
+			return err
+		}
+		r.processes = append(r.processes, p)
+	}
+	errs := make([]error, len(r.processes))
+	var wg sync.WaitGroup
+	for i, p := range r.processes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			errs[i] = p.start()
+		}()
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// start starts the process and waits until it is ready.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.r.discovery.Whole()
+	text, err := configuration(p, known, len(p.r.processes))
+	if err == nil {
+		err = os.WriteFile(p.file(".json"), text, 0o600)
+	}
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(p.file(".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.r.options.Program[0], p.r.options.Program[1:]...)
+	cmd.Env = append(append(os.Environ(), p.r.options.Env...), "EDGE_CONFIG="+p.file(".json"))
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return fmt.Errorf("start %s: %w", p.name(), err)
+	}
+	p.incarnation.Add(1)
+	exited := make(chan struct{})
+	p.cmd, p.exited, p.ended = cmd, exited, false
+	go func() {
+		p.exit = cmd.Wait()
+		log.Close()
+		close(exited)
+	}()
+	return p.awaitReady(known)
+}
+
+func (p *process) awaitReady(known agent.List) error {
+	began := time.Now()
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		answer, err := client.Get("http://" + p.address + "/-/ready")
+		if err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		select {
+		case <-p.exited:
+			return fmt.Errorf("%s ended at its start: %v (log: %s)", p.name(), p.exit, p.file(".log"))
+		case <-time.After(20 * time.Millisecond):
+		}
+		if time.Since(began) > startTimeout {
+			return fmt.Errorf("%s was not ready within %v (log: %s)", p.name(), startTimeout, p.file(".log"))
+		}
+	}
+	for _, s := range known.Members {
+		p.r.seeListed(p, s)
+	}
+	p.r.rec.See(&wpb.Seen{What: wpb.Seen_HOST_UP, Host: uint32(p.number), Incarnation: p.incarnation.Load()})
+	p.serving.Store(true)
+	return nil
+}
+
+// told hears of an entry that the agent wrote to the process.
+func (p *process) told(s agent.Server) {
+	p.known.Lock()
+	p.known.told[s.ID] = mark(s)
+	p.known.Unlock()
+	p.r.seeListed(p, s)
+}
+
+// mark tells two states of a server apart.
+func mark(s agent.Server) int64 {
+	phases := map[string]int64{agent.InService: 1, agent.Terminating: 2, agent.Terminated: 3}
+	return s.UpSince*4 + phases[s.Phase]
+}
+
+// owed lets an entry count as told at the latest moment at which it does, unless it was told before.
+func (p *process) owed(s agent.Server) {
+	p.r.mu.Lock()
+	down := p.r.down
+	p.r.mu.Unlock()
+	if down { // the list is retold when discovery returns
+		return
+	}
+	time.AfterFunc(tellWithin, func() {
+		p.known.Lock()
+		told := p.known.told[s.ID] == mark(s)
+		p.known.Unlock()
+		if !told && p.serving.Load() {
+			p.r.seeListed(p, s)
+		}
+	})
+}
+
+// signal sends a signal to the process if it runs.
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+	default:
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// reload moves the process to another agent, by a new configuration and SIGHUP. The old agent speaks on for a moment.
+func (p *process) reload() error {
+	next, err := p.r.discovery.Listen(p.told)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	old := p.agent
+	p.agent = next
+	text, err := configuration(p, p.r.discovery.Whole(), len(p.r.processes))
+	if err == nil {
+		err = os.WriteFile(p.file(".json"), text, 0o600)
+	}
+	p.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	p.signal(syscall.SIGHUP)
+	time.AfterFunc(reloadWithin/2, old.Close)
+	return nil
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	if !p.end("killed") {
+		return
+	}
+	p.serving.Store(false)
+	p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// end notes that this run ends the process; false: it has done so before, or the process never ran.
+func (p *process) end(how string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.ended {
+		return false
+	}
+	p.ended = true
+	p.r.rec.See(&wpb.Seen{What: wpb.Seen_HOST_DOWN, Host: uint32(p.number), Incarnation: p.incarnation.Load(), How: how})
+	return true
+}
+
+// stop is SIGTERM, and SIGKILL after the longest deadline and killGrace.
+func (p *process) stop() {
+	if !p.end("stopping") {
+		return
+	}
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+		if p.exit != nil {
+			p.r.violated(Violation{Rule: "crash", Process: p.name(), At: p.r.rec.Now(), Detail: "told to stop: " + p.exit.Error(), Log: p.file(".log")})
+		}
+	case <-time.After(requestTime + killGrace):
+		p.cmd.Process.Kill()
+		<-p.exited
+	}
+	p.serving.Store(false)
+}
+
+// crashed tells of a process that ended by itself.
+func (p *process) crashed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+		return !p.ended
+	default:
+		return false
+	}
+}
+
+func (r *run) stopProcesses() {
+	var wg sync.WaitGroup
+	for _, p := range r.processes {
+		if p.crashed() {
+			r.violated(Violation{Rule: "crash", Process: p.name(), At: r.rec.Now(), Detail: fmt.Sprintf("ended by itself: %v", p.exit), Log: p.file(".log")})
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			p.stop()
+		}()
+	}
+	wg.Wait()
+}
+
+// counters reads a process's log for invariants that its own checks found broken, panics, and the largest figures of its state.
+func (p *process) counters() (violations []Violation) {
+	f, err := os.Open(p.file(".log"))
+	if err != nil {
+		return nil
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		text := lines.Text()
+		if strings.Contains(text, "invariant broken") || strings.Contains(text, "panic") || strings.Contains(text, "fatal error") {
+			violations = append(violations, Violation{Rule: "own check", Process: p.name(), Detail: text, Log: p.file(".log")})
+		}
+	}
+	return violations
+}
--- a/internal/standin/brick/brick.go
+++ b/internal/standin/brick/brick.go
@@ -37,6 +37,8 @@
 	Elsewhere           bool
 	// HostOf is a host's number and incarnation by its name, for the record; may be nil.
 	HostOf func(name string) (host, incarnation uint32)
+	// AttemptOf, where set, lets the brick speak the platform's HTTP/1.1, which does not tell the number of an attempt.
+	AttemptOf func(command uint64) uint32
 }
 
 // Conditions are a brick's troubles; the zero value is a usual day.
@@ -49,6 +51,9 @@
 	OnOff      time.Duration // ... each for this long
 	Pause      time.Duration // stands still for so long
 	PauseEvery time.Duration
+	Copies     float64 // part of the answers that are sent twice, the second some milliseconds late (HTTP only)
+	Endless    float64 // part of the answers without a length, reset on the way (HTTP only)
+	CloseIdle  bool    // connections are closed right after an answer (HTTP only)
 	Costly     float64 // part of the commands that cost CostlyBy times as much
 	CostlyBy   float64
 }
@@ -157,6 +162,7 @@
 	units     float64
 	work      float64 // s of a speed-1 machine
 	until     time.Time
+	told      time.Duration // that its host waits, as it told
 	body      []byte
 	probe     bool
 	cancelled bool
@@ -279,8 +285,10 @@
 	var o lineproto.Out
 	o.Start(lineproto.Drain, 0).End(nil)
 	for c := range b.conns {
-		c.sender.Send(o.B)
-		b.noteDrain(c)
+		if c.sender != nil {
+			c.sender.Send(o.B)
+			b.noteDrain(c)
+		}
 	}
 }
 
@@ -313,11 +321,14 @@
 		if err != nil {
 			return
 		}
-		c := &conn{no: no, nc: nc, sender: lineproto.NewSender(8<<20, 10*time.Second), ids: map[uint64]*job{}}
+		c, serve := &conn{no: no, nc: nc, ids: map[uint64]*job{}}, b.serveHTTP
+		if b.c.AttemptOf == nil {
+			c.sender, serve = lineproto.NewSender(8<<20, 10*time.Second), b.serve
+		}
 		b.wg.Add(1)
 		go func() {
 			defer b.wg.Done()
-			b.serve(c)
+			serve(c)
 		}()
 	}
 }
@@ -449,7 +460,7 @@
 		}
 	}
 	b.see(j, &wpb.Seen{What: wpb.Seen_REACHED, Brick: b.c.Name, Cell: int32(b.c.Cell), Zone: b.c.Zone,
-		Command: j.command, Dispatch: j.n, Volume: j.volume, Units: j.units, Work: j.work, Connection: j.conn.no, Tag: j.tag})
+		Command: j.command, Dispatch: j.n, Volume: j.volume, Units: j.units, Work: j.work, Connection: j.conn.no, Tag: j.tag, Timeout: int64(j.told)})
 	b.press(j.work)
 	if b.fell {
 		return
@@ -648,14 +659,15 @@
 	var o lineproto.Out
 	o.B = make([]byte, 0, 128+len(body))
 	o.Start(verb, j.id)
+	var other float64
 	if b.c.Elsewhere {
 		host := j.conn.host
-		other := b.done[j.volume] - b.own[host][j.volume]
+		served := b.done[j.volume] - b.own[host][j.volume]
 		if b.told[host] != nil {
-			if x := other - b.told[host][j.volume]; x > 0 {
-				o.Number("Elsewhere", x)
+			if other = served - b.told[host][j.volume]; other > 0 {
+				o.Number("Elsewhere", other)
 			}
-			b.told[host][j.volume] = other
+			b.told[host][j.volume] = served
 		}
 	}
 	if b.c.Meter != nil {
@@ -667,6 +679,10 @@
 	b.see(j, &wpb.Seen{What: wpb.Seen_REPLIED, Brick: b.c.Name, Command: j.command, Dispatch: j.n, How: verb,
 		Connection: j.conn.no, Volume: j.volume, Units: j.units})
 	delete(j.conn.ids, j.id)
+	if j.conn.sender == nil {
+		b.answerHTTP(j, verb, other)
+		return
+	}
 	j.conn.sender.Send(o.End(body).B)
 }
 
