Front: accept does not fall behind when idle clients fill the descriptors

Two faults of the soak itself were mended first: its proxy turned resets into ends (an answer without a length passed as whole), and held processes stopped while one of them restarted. Change: what lingers on its way out is cut as soon as a descriptor is wanted, young connections are spared 5 ms once accept has waited for 20, and a first request counts from when its connection may have begun to wait.

--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -26,11 +26,12 @@
 	inbox    *inbox
 	in       *http1.Reader
 	answers  chan hostloop.Answer
-	deadline time.Time // the request being read must be whole
-	until    time.Time // the answer must be taken; zero: write from now
-	closing  bool      // by the client's word, or since its bytes can't be trusted
-	waiting  bool      // a request is in progress
-	release  func()    // of the answer's body; set in the loop before the answer is handed over
+	deadline time.Time     // the request being read must be whole
+	until    time.Time     // the answer must be taken; zero: write from now
+	queued   time.Duration // it may have waited so long, with its first request, to be accepted
+	closing  bool          // by the client's word, or since its bytes can't be trusted
+	waiting  bool          // a request is in progress
+	release  func()        // of the answer's body; set in the loop before the answer is handed over
 
 	// What finish checks: a request that was read whole is owed an answer, unless its client has gone.
 	owed     string // the request's id
@@ -42,9 +43,9 @@
 	last bool // its next answer is the last
 
 	// Under front.mu.
-	place      place
-	element    *list.Element // in the list of its place
-	since      time.Time     // when it came there
+	list       *list.List // of its place
+	element    *list.Element
+	since      time.Time // when it came there
 	busy       bool
 	retired    bool // asked to end
 	retiredFor observe.Reason
@@ -128,7 +129,8 @@
 		c.endIdle(err)
 		return false
 	}
-	arrived := c.inbox.arrived(c.in.Buffered())
+	arrived := c.inbox.arrived(c.in.Buffered()) - c.queued
+	c.queued = 0
 	c.startReading()
 	if !c.request(arrived) {
 		return false
--- a/internal/platform/front/eviction.go
+++ b/internal/platform/front/eviction.go
@@ -21,8 +21,8 @@
 // Young connections are spared: a usual client asks as soon as it has connected and sends its request in one go.
 const (
 	spareLingering = 100 * time.Millisecond
-	spareFresh     = 100 * time.Millisecond
-	spareReading   = 100 * time.Millisecond
+	spareFresh     = 50 * time.Millisecond
+	spareReading   = 50 * time.Millisecond
 	longResting    = 2 * time.Second
 	longFresh      = 500 * time.Millisecond
 	longReading    = time.Second
@@ -40,6 +40,11 @@
 	overflow = 6
 	// With more than lingerSlots being closed, one that was not answered just now is closed without lingering.
 	lingerSlots = overflow / 2
+	// While accept has been waiting for patience, connections wait in the kernel's queue: nothing is spared for longer than spareLeast.
+	patience   = 20 * time.Millisecond
+	spareLeast = 5 * time.Millisecond
+	// An accept that takes acceptBlocks found the kernel's queue empty.
+	acceptBlocks = time.Millisecond
 	// roomPoll is how often room is looked for while there is none.
 	roomPoll = 5 * time.Millisecond
 )
@@ -50,6 +55,9 @@
 		if f.hasDescriptor() {
 			return
 		}
+		if f.crowdedSince.IsZero() {
+			f.crowdedSince = time.Now()
+		}
 		select {
 		case <-f.closedOne:
 		case <-time.After(roomPoll):
@@ -63,12 +71,28 @@
 	if len(f.conns) < f.options.MaxConnections+overflow {
 		return true
 	}
-	if f.retiring < overflow {
+	if oldest := f.leaving.Front(); oldest != nil {
+		f.cut(oldest.Value.(*conn))
+	} else if f.retiring < overflow {
 		f.evictOne()
 	}
 	return false
 }
 
+// cut ends the lingering of a connection that is being closed. The caller holds mu.
+func (f *Front) cut(c *conn) {
+	f.unplace(c)
+	c.nc.SetReadDeadline(longAgo)
+}
+
+// spared is how long a connection is spared that is asked to go from an age on.
+func (f *Front) spared(age time.Duration) time.Duration {
+	if !f.crowdedSince.IsZero() && time.Since(f.crowdedSince) >= patience {
+		return min(age, spareLeast)
+	}
+	return age
+}
+
 // evictOne retires the connection that can best be done without. The caller holds mu.
 func (f *Front) evictOne() {
 	for _, step := range evictionOrder {
@@ -77,7 +101,7 @@
 			continue
 		}
 		c := oldest.Value.(*conn)
-		if time.Since(c.since) < step.age {
+		if time.Since(c.since) < f.spared(step.age) {
 			continue
 		}
 		f.counts.Evicted++
@@ -116,9 +140,11 @@
 		return // its deadline is over already
 	}
 	c.nc.SetReadDeadline(deadline)
-	if !c.retired {
-		c.element, c.place, c.since = f.places[p].PushBack(c), p, time.Now()
+	c.list = &f.places[p]
+	if c.retired {
+		c.list = &f.leaving
 	}
+	c.element, c.since = c.list.PushBack(c), time.Now()
 }
 
 // admit marks a connection as one with a request in progress; false: there are as many as there may be.
@@ -144,7 +170,7 @@
 
 func (f *Front) unplace(c *conn) {
 	if c.element != nil {
-		f.places[c.place].Remove(c.element)
+		c.list.Remove(c.element)
 		c.element = nil
 	}
 }
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -60,11 +60,13 @@
 	room    atomic.Int64 // left of Ahead
 	wg      sync.WaitGroup
 
-	closedOne chan struct{} // holds one: a connection was closed
+	closedOne    chan struct{} // holds one: a connection was closed
+	crowdedSince time.Time     // only for Serve: since then connections may be waiting to be accepted; zero: none is
 
 	mu       sync.Mutex
 	conns    map[*conn]bool    // all that are open
 	places   [places]list.List // of *conn without a request in progress, oldest first
+	leaving  list.List         // of *conn that are being closed and linger, oldest first
 	retiring int               // asked to close and still open
 	busy     int               // with a request in progress
 	counts   Counts
@@ -110,7 +112,11 @@
 func (f *Front) Serve(l net.Listener) {
 	for {
 		f.awaitDescriptor()
+		began := time.Now()
 		nc, err := l.Accept()
+		if time.Since(began) >= acceptBlocks {
+			f.crowdedSince = time.Time{}
+		}
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -141,6 +147,9 @@
 
 func (f *Front) open(nc net.Conn) {
 	c := newConn(f, nc)
+	if !f.crowdedSince.IsZero() {
+		c.queued = min(time.Since(f.crowdedSince), requestTimeout)
+	}
 	f.mu.Lock()
 	f.counts.Accepted++
 	f.conns[c] = true
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -119,7 +119,8 @@
 
 func (l *load) draw(process int, rng *rand.Rand) request {
 	q := request{number: l.number.Add(1), process: process, cell: rng.Intn(cells), units: 1}
-	volume := (process + rng.Intn(volumeHosts)*volumes/volumeHosts) % volumes
+	n := len(l.r.processes)
+	volume := (process + n - rng.Intn(min(volumeHosts, n))) % n // each comes through volumeHosts processes
 	q.volume, q.object = fmt.Sprintf("%016x", volume+1), fmt.Sprintf("%016x", rng.Intn(1000))
 	if volume%4 == limitedPlan {
 		q.plan = limitedPlan
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -90,9 +90,16 @@
 
 // start starts the process and waits until it is ready.
 func (p *process) start() error {
+	known := p.r.discovery.Whole()
+	if err := p.launch(known); err != nil {
+		return err
+	}
+	return p.awaitReady(known)
+}
+
+func (p *process) launch(known agent.List) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.r.discovery.Whole()
 	text, err := configuration(p, known, len(p.r.processes))
 	if err == nil {
 		err = os.WriteFile(p.file(".json"), text, 0o600)
@@ -119,7 +126,7 @@
 		log.Close()
 		close(exited)
 	}()
-	return p.awaitReady(known)
+	return nil
 }
 
 func (p *process) awaitReady(known agent.List) error {
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -12,7 +12,6 @@
 // The fleet of a run.
 const (
 	cells        = 8
-	volumes      = 24
 	volumeHosts  = 3 // processes through which a volume's requests come
 	requestTime  = time.Second
 	drainGrace   = 250 * time.Millisecond
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -4,10 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -142,19 +143,18 @@
 	go func() {
 		defer close(done)
 		p.pass(x, far, near)
-		far.Close() // an end of the gateway's sending cancels, as a close does
-		near.Close()
 	}()
 	p.pass(x, near, far)
-	near.Close()
-	far.Close()
 	<-done
 }
 
 const chunk = 16 << 10
 
-// pass copies one direction until it ends.
-func (p *Proxy) pass(x *pair, to io.Writer, from io.Reader) {
+// pass copies one direction until it ends, and then ends both sides in the same way: a reset stays a reset. An end of the
+// gateway's sending cancels, as a close does.
+func (p *Proxy) pass(x *pair, to, from net.Conn) {
+	defer from.Close()
+	defer to.Close()
 	buffer := make([]byte, chunk)
 	for {
 		n, err := from.Read(buffer)
@@ -167,6 +167,9 @@
 			}
 		}
 		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
+				tcp.SetLinger(0)
+			}
 			return
 		}
 	}
