--- a/internal/object/index/index_test.go
+++ b/internal/object/index/index_test.go
@@ -311,3 +311,28 @@
 		t.Error(err)
 	}
 }
+
+// A name never stands for extents that were swept, or that the sweep has begun to remove: whoever lost them is told.
+func TestCommitNeedsItsExtents(t *testing.T) {
+	x := open(t, filepath.Join(t.TempDir(), "index.db"))
+	defer x.Close()
+	for _, given := range []struct {
+		name string
+		up   func(all []*wpb.ExtentRecord) error
+	}{
+		{"forgotten", func(all []*wpb.ExtentRecord) error { return x.Removed([]string{all[0].Id, all[1].Id}) }},
+		{"removed", func(all []*wpb.ExtentRecord) error { return x.Removed([]string{all[0].Id}) }},
+		{"given up", func(all []*wpb.ExtentRecord) error { return x.Doom("v", all[:1], 2) }},
+	} {
+		all := extents(given.name, 2)
+		if err := x.Intend("v", all, 1); err != nil {
+			t.Fatal(err)
+		}
+		if err := given.up(all); err != nil {
+			t.Fatal(err)
+		}
+		if err := x.Commit(&wpb.ObjectRecord{Volume: "v", Name: given.name, Extent: all}, nil, 3); err == nil {
+			t.Errorf("%s: a name stands for extents that are gone", given.name)
+		}
+	}
+}
