--- a/internal/edge/objects.go
+++ b/internal/edge/objects.go
@@ -63,7 +63,7 @@
 	}
 	o.gate = gate.New(gate.Config{Commands: o, Index: o.index, ReadType: c.ReadType, WriteType: c.WriteType, Extent: extent, Unit: or(c.Unit, 64<<10),
 		Window: int(or(c.Window, 8)), UploadAge: settings.Duration(c.UploadAge, 24*time.Hour), LooseAge: settings.Duration(c.LooseAge, time.Hour), Log: e.log,
-		Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})
+		Now: e.loop.Now})
 	var config net.ListenConfig
 	if o.listen, err = config.Listen(ctx, "tcp", c.Listen); err != nil {
 		o.index.Close()
--- a/internal/object/api/api.go
+++ b/internal/object/api/api.go
@@ -173,7 +173,11 @@
 	return &decide.NotAllowed
 }
 
-func (c *call) now() time.Duration { return time.Duration(c.c.Now().UnixNano()) }
+// now is the clock by which extents age.
+func (c *call) now() time.Duration { return c.c.Gate.Now() }
+
+// date is the wall clock, for what clients are shown.
+func (c *call) date() int64 { return c.c.Now().UnixNano() }
 
 func quoted(etag string) string { return `"` + etag + `"` }
 
@@ -289,7 +293,8 @@
 	if err != nil {
 		return err
 	}
-	o := &wpb.ObjectRecord{Volume: c.volume, Name: c.name, Etag: w.ETag, Size: w.Size, Modified: int64(c.now()), ContentType: c.r.Header.Get("Content-Type"), Meta: c.meta(),
+	defer w.Done()
+	o := &wpb.ObjectRecord{Volume: c.volume, Name: c.name, Etag: w.ETag, Size: w.Size, Modified: c.date(), ContentType: c.r.Header.Get("Content-Type"), Meta: c.meta(),
 		Extent: w.Extents}
 	if err := c.c.Gate.Index().Commit(o, c.check, c.now()); err != nil {
 		c.drop(w)
@@ -545,7 +550,7 @@
 }
 
 func (c *call) begin() error {
-	u := &wpb.UploadRecord{Volume: c.volume, Name: c.name, Id: gate.NewUpload(), Begun: int64(c.now()), ContentType: c.r.Header.Get("Content-Type"), Meta: c.meta()}
+	u := &wpb.UploadRecord{Volume: c.volume, Name: c.name, Id: gate.NewUpload(), Begun: c.date(), ContentType: c.r.Header.Get("Content-Type"), Meta: c.meta()}
 	if err := c.c.Gate.Index().Begin(u); err != nil {
 		return err
 	}
@@ -568,7 +573,8 @@
 	if err != nil {
 		return err
 	}
-	p := &wpb.PartRecord{Number: uint32(n), Etag: w.ETag, Size: w.Size, Modified: int64(c.now()), Extent: w.Extents}
+	defer w.Done()
+	p := &wpb.PartRecord{Number: uint32(n), Etag: w.ETag, Size: w.Size, Modified: c.date(), Extent: w.Extents}
 	if err := c.c.Gate.Index().PutPart(c.volume, c.name, id, p, c.now()); err != nil {
 		c.drop(w)
 		return err
--- a/internal/object/gate/gate.go
+++ b/internal/object/gate/gate.go
@@ -15,6 +15,7 @@
 	"hash/crc32"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,12 +51,16 @@
 	c       Config
 	mu      sync.Mutex
 	readers map[*reader]bool
+	writing map[string]bool // extents that this process writes, or has written for something that will hold them
 }
 
 type reader struct{ since time.Duration }
 
 // New makes one.
-func New(c Config) *Gate { return &Gate{c: c, readers: map[*reader]bool{}} }
+func New(c Config) *Gate { return &Gate{c: c, readers: map[*reader]bool{}, writing: map[string]bool{}} }
+
+// Now is the clock by which extents age: it moves with real time, not with the wall clock.
+func (g *Gate) Now() time.Duration { return g.c.Now() }
 
 // Reading keeps what an object is made of from being swept until done is called, though it be replaced meanwhile: call it before the
 // object is looked up.
@@ -125,10 +130,25 @@
 	Extents []*wpb.ExtentRecord
 	Size    int64
 	ETag    string // MD5, in hex
+
+	gate  *Gate
+	tried []*wpb.ExtentRecord
 }
 
-// Write stores a stream as extents. What it stored is loose: the caller lets something hold it, or dooms it. Where it fails it has
-// doomed all by itself.
+// Done lets the sweep have what nothing came to hold. It is to be called once something holds the extents, or they are doomed.
+func (w *Written) Done() {
+	if w.gate == nil {
+		return
+	}
+	w.gate.mu.Lock()
+	defer w.gate.mu.Unlock()
+	for _, e := range w.tried {
+		delete(w.gate.writing, e.Id)
+	}
+}
+
+// Write stores a stream as extents. What it stored is loose: the caller lets something hold it, or dooms it, and then calls Done.
+// Where it fails it has doomed all by itself.
 func (g *Gate) Write(ctx context.Context, volume string, in io.Reader, most int64) (w Written, fault error) {
 	cells, ok := g.c.Commands.Cells(volume)
 	if !ok {
@@ -218,6 +238,7 @@
 		}
 	}
 	wg.Wait()
+	w.gate, w.tried = g, all
 	if first == nil && ctx.Err() != nil {
 		first = decide.Incomplete.With("The client went away.")
 	}
@@ -225,6 +246,7 @@
 		if err := g.c.Index.Doom(volume, all, g.c.Now()); err != nil {
 			g.c.Log.Warn("extents that were given up stay loose until they are old", "err", err)
 		}
+		w.Done()
 		return w, first
 	}
 	// Ids that were given up on the way are doomed; the others are the caller's.
@@ -263,9 +285,12 @@
 	id := newID()
 	e = &wpb.ExtentRecord{Id: id, Cell: decide.Cells(cells, id)[0], Size: int64(len(b)), Sum: crc32.Checksum(b, table)}
 	tried = []*wpb.ExtentRecord{e}
+	g.mu.Lock()
+	g.writing[id] = true
+	g.mu.Unlock()
 	if err := g.c.Index.Intend(volume, tried, g.c.Now()); err != nil {
 		g.c.Log.Warn("an extent can't be written down, so it is not written", "err", err)
-		return nil, nil, decide.Unavailable.With("The index takes no writes.")
+		return nil, tried, decide.Unavailable.With("The index takes no writes.")
 	}
 	body := make([]byte, len(b)) // the loop's from here on: the buffer is used again
 	copy(body, b)
@@ -341,6 +366,13 @@
 	return b[p.From : p.From+p.Size], nil
 }
 
+// leftOver leaves out what this process still writes: an upload may last longer than any age.
+func (g *Gate) leftOver(found []*wpb.LooseRecord) []*wpb.LooseRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.DeleteFunc(found, func(l *wpb.LooseRecord) bool { return !l.Doomed && g.writing[l.Extent.Id] })
+}
+
 // Sweep gives old uploads up and removes what nothing holds: its bytes are overwritten by none, then it is forgotten. It tells how many
 // extents went, and how many are loose still.
 func (g *Gate) Sweep(ctx context.Context) (removed, left int, err error) {
@@ -360,6 +392,9 @@
 	if err != nil {
 		return 0, all, err
 	}
+	if loose, err = g.c.Index.Claim(g.leftOver(loose)); err != nil {
+		return 0, all, err
+	}
 	var gone []string
 	for _, l := range loose {
 		t := &hostloop.Task{Volume: l.Volume, QueueType: g.c.WriteType, Object: "x/" + l.Extent.Id, Tag: l.Extent.Id + "-gone", Cell: int(l.Extent.Cell), Units: 1}
--- a/internal/object/index/index.go
+++ b/internal/object/index/index.go
@@ -90,9 +90,19 @@
 	})
 }
 
-// hold lets extents be held; they must be loose, or held already by what gives them up in the same transaction.
+// ErrExtentsGone is returned where a name or a part would stand for extents that were given up or swept meanwhile.
+var ErrExtentsGone = errors.New("bytes of it were removed meanwhile")
+
+// hold lets extents be held; they must be loose and not given up, or held already by what gives them up in the same transaction.
 func hold(tx *bbolt.Tx, extents []*wpb.ExtentRecord) error {
 	for _, e := range extents {
+		there, err := holdable(tx, e.Id)
+		if err != nil {
+			return err
+		}
+		if !there {
+			return fmt.Errorf("extent %s: %w", e.Id, ErrExtentsGone)
+		}
 		if err := errors.Join(tx.Bucket(loose).Delete([]byte(e.Id)), tx.Bucket(held).Put([]byte(e.Id), []byte{1})); err != nil {
 			return err
 		}
@@ -100,6 +110,16 @@
 	return nil
 }
 
+// holdable tells whether the bytes of an extent are surely there: nothing has given them up.
+func holdable(tx *bbolt.Tx, id string) (bool, error) {
+	if tx.Bucket(held).Get([]byte(id)) != nil {
+		return true, nil
+	}
+	record := &wpb.LooseRecord{}
+	found, err := read(tx.Bucket(loose), []byte(id), record)
+	return found && !record.Doomed, err
+}
+
 // doom lets nothing hold extents any more.
 func doom(tx *bbolt.Tx, volume string, extents []*wpb.ExtentRecord, now time.Duration) error {
 	for _, e := range extents {
@@ -430,6 +450,29 @@
 	return remove, all, err
 }
 
+// Claim gives up loose extents before their bytes are removed, so that nothing can hold them from here on. It returns those
+// that may be removed: what came to be held meanwhile is left out.
+func (x *Index) Claim(found []*wpb.LooseRecord) (claimed []*wpb.LooseRecord, err error) {
+	err = x.db.Update(func(tx *bbolt.Tx) error {
+		claimed = nil
+		for _, l := range found {
+			id := []byte(l.Extent.Id)
+			if tx.Bucket(held).Get(id) != nil {
+				continue
+			}
+			if !l.Doomed {
+				l.Doomed = true
+				if err := put(tx.Bucket(loose), id, l); err != nil {
+					return err
+				}
+			}
+			claimed = append(claimed, l)
+		}
+		return nil
+	})
+	return claimed, err
+}
+
 // Removed forgets loose extents whose bytes are gone from their bricks.
 func (x *Index) Removed(ids []string) error {
 	return x.db.Update(func(tx *bbolt.Tx) error {
--- a/internal/object/index/index_test.go
+++ b/internal/object/index/index_test.go
@@ -233,7 +233,8 @@
 		for n := uint32(1); n <= decide.MostParts; n++ {
 			p := &wpb.PartRecord{Number: n, Etag: "00", Size: 1, Extent: extents(fmt.Sprint("p", n), 1)}
 			named = append(named, decide.Named{Number: n, ETag: "00"})
-			if err := errors.Join(hold(tx, p.Extent), put(tx.Bucket(parts), partKey("u", n), p)); err != nil {
+			intended := &wpb.LooseRecord{Extent: p.Extent[0], Volume: "v"}
+			if err := errors.Join(put(tx.Bucket(loose), []byte(p.Extent[0].Id), intended), hold(tx, p.Extent), put(tx.Bucket(parts), partKey("u", n), p)); err != nil {
 				return err
 			}
 		}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -115,6 +115,7 @@
 	pieces  bool
 	leave   time.Duration // it closes so long after it has asked; 0: it stays
 	fresh   bool
+	once    bool // its connection is closed after the answer
 }
 
 func (l *load) draw(process int, rng *rand.Rand) request {
@@ -250,7 +251,7 @@
 	}
 	l.answered(q, h, body)
 	c.used = true
-	if h.Close || q.leave > 0 {
+	if h.Close || q.leave > 0 || q.once {
 		c.nc.Close()
 		return
 	}
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -53,6 +53,7 @@
 		r.load.habits.with(ctx, &r.load.habits.fresh, 90, 0)
 	}},
 	{"burst", func(ctx context.Context, r *run, rng *rand.Rand) { r.load.habits.with(ctx, &r.load.habits.burst, 4, 1) }},
+	{"clients-many", manyClients},
 	{"crowd", crowd},
 }
 
@@ -384,6 +385,28 @@
 	habit.Store(usual)
 }
 
+// manyClients lets more clients ask some processes at once than these hold connections for, each on a new connection and in
+// two pieces.
+func manyClients(ctx context.Context, r *run, rng *rand.Rand) {
+	seed := rng.Int63()
+	together(some(rng, r.processes, 8), func(p *process) {
+		var wg sync.WaitGroup
+		for client := range sockets {
+			own := rand.New(rand.NewSource(seed + int64(p.number*sockets+client)))
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for ctx.Err() == nil {
+					q := r.load.draw(p.number, own)
+					q.pieces, q.fresh, q.once = true, true, true
+					r.load.ask(q)
+				}
+			}()
+		}
+		wg.Wait()
+	})
+}
+
 // crowd fills the descriptors of some processes with clients that say nothing, or half of a request.
 func crowd(ctx context.Context, r *run, rng *rand.Rand) {
 	r.load.habits.crowding.Store(true)
