Test: a failed save is taken for not written, failing; a seam for transactions

After a save that failed at its sync the disk may hold it; when beliefs are then as before, the store compares with what it had written last and writes nothing: the next start reads the failed save. Measured: a server told as draining by the failed save is still draining on disk, one that it added is still there, the hosts are gone.

--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -34,10 +34,15 @@
 type Store struct {
 	db   *bbolt.DB
 	host string
-	held map[string]decide.Belief
+	held map[string]decide.Belief // as written
+	// Lines of a save that failed: the disk may hold them as before it or after.
+	unsure map[string]bool
 	// hosts as written
-	hosts []member.Member
-	fixed bool // the disk is read-only
+	hosts       []member.Member
+	hostsUnsure bool // a save of them failed
+	fixed       bool // the disk is read-only
+	// update runs a transaction; db.Update, but in tests.
+	update func(func(*bbolt.Tx) error) error
 }
 
 // opener opens files; os.OpenFile is one.
@@ -88,7 +93,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w", file, err)
 	}
-	s = &Store{db: db, host: host, held: map[string]decide.Belief{}, fixed: fixed}
+	s = &Store{db: db, host: host, held: map[string]decide.Belief{}, unsure: map[string]bool{}, fixed: fixed, update: db.Update}
 	all, _, err := s.Load()
 	if err != nil {
 		db.Close()
@@ -161,7 +166,7 @@
 	var put []decide.Belief
 	for _, b := range all {
 		now[b.Name] = b
-		if h, ok := s.held[b.Name]; !ok || differ(h, b) {
+		if h, ok := s.held[b.Name]; !ok || differ(h, b) || s.unsure[b.Name] {
 			put = append(put, b)
 		}
 	}
@@ -171,13 +176,18 @@
 			drop = append(drop, name)
 		}
 	}
+	for name := range s.unsure {
+		if _, ok := now[name]; !ok && !slices.Contains(drop, name) {
+			drop = append(drop, name)
+		}
+	}
 	if len(put)+len(drop) == 0 {
 		return 0, nil
 	}
 	if s.fixed {
 		return 0, fmt.Errorf("save the fleet: %w", ErrReadOnly)
 	}
-	err = s.db.Update(func(tx *bbolt.Tx) error {
+	err = s.update(func(tx *bbolt.Tx) error {
 		m, err := tx.CreateBucketIfNotExists(metaBucket)
 		if err != nil {
 			return err
@@ -211,8 +221,10 @@
 		return nil
 	})
 	if err != nil {
+
 		return 0, fmt.Errorf("save the fleet: %w", err)
 	}
+	clear(s.unsure)
 	for _, b := range put {
 		s.held[b.Name] = b
 	}
@@ -222,6 +234,17 @@
 	return len(put) + len(drop), nil
 }
 
+// distrust notes lines of a save that failed: the disk may hold them as they were before it or after, so that the next save
+// has to write them whatever they are then.
+func (s *Store) distrust(put []decide.Belief, drop []string) {
+	for _, b := range put {
+		s.unsure[b.Name] = true
+	}
+	for _, name := range drop {
+		s.unsure[name] = true
+	}
+}
+
 // Hosts reads the members kept.
 func (s *Store) Hosts() (all []member.Member, err error) {
 	err = s.db.View(func(tx *bbolt.Tx) error {
@@ -244,13 +267,13 @@
 
 // SaveHosts keeps the members, if they have changed.
 func (s *Store) SaveHosts(all []member.Member) error {
-	if slices.Equal(all, s.hosts) {
+	if slices.Equal(all, s.hosts) && !s.hostsUnsure {
 		return nil
 	}
 	if s.fixed {
 		return fmt.Errorf("save the hosts: %w", ErrReadOnly)
 	}
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		if tx.Bucket(hostBucket) != nil {
 			if err := tx.DeleteBucket(hostBucket); err != nil {
 				return err
@@ -272,6 +295,7 @@
 		}
 		return nil
 	})
+
 	if err != nil {
 		return fmt.Errorf("save the hosts: %w", err)
 	}
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -235,3 +235,43 @@
 		})
 	}
 }
+
+// A save that is told as failed may have reached the disk all the same. When things are then as they were before it, the next
+// save must not take the disk for up to date.
+func TestFailedSaveIsUnknown(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "fleet.db")
+	s, _ := mustOpen(t, file, "h")
+	before, gen := bricks(2, time.Hour), decide.Generation{Epoch: "e", Number: 1}
+	hosts := []member.Member{{Name: "h", Address: "127.0.0.1:1"}}
+	if _, err := s.Save(before, gen); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.SaveHosts(hosts); err != nil {
+		t.Fatal(err)
+	}
+	s.update = func(f func(*bbolt.Tx) error) error { return errors.Join(s.db.Update(f), syscall.EIO) }
+	after := bricks(3, time.Hour)
+	after[0].Serving = false
+	if _, err := s.Save(after, gen); !errors.Is(err, syscall.EIO) {
+		t.Fatal(err)
+	}
+	if err := s.SaveHosts(nil); !errors.Is(err, syscall.EIO) {
+		t.Fatal(err)
+	}
+	s.update = s.db.Update
+	if _, err := s.Save(before, gen); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.SaveHosts(hosts); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	s, _ = mustOpen(t, file, "h")
+	all, _, err := s.Load()
+	if err != nil || len(all) != 2 || !all[0].Serving {
+		t.Errorf("%v: the disk kept what a failed save had written: %v", err, all)
+	}
+	if len(s.hosts) != 1 {
+		t.Errorf("%d hosts, wanted 1", len(s.hosts))
+	}
+}
