Store: lines of a failed save are written again; planner and loop share one monotonic clock

Change: what a failed save touched is written by the next one whatever it is; internal/clock, the host loop's clock, is the planner's too.

--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -221,7 +221,7 @@
 		return nil
 	})
 	if err != nil {
-
+		s.distrust(put, drop)
 		return 0, fmt.Errorf("save the fleet: %w", err)
 	}
 	clear(s.unsure)
@@ -295,7 +295,7 @@
 		}
 		return nil
 	})
-
+	s.hostsUnsure = err != nil
 	if err != nil {
 		return fmt.Errorf("save the hosts: %w", err)
 	}
--- a/internal/hostloop/loop.go
+++ b/internal/hostloop/loop.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"time"
+
+	"weirhaven/internal/clock"
 )
 
 // Loop is the one goroutine that owns a Core. Events reach it as calls through a bounded queue.
 type Loop struct {
 	events chan func(*Core)
 	first  chan func(*Core) // before the next of events
-	start  time.Time
+	clock  clock.Clock
 	done   chan struct{}
 }
 
@@ -20,14 +22,11 @@
 
 // NewLoop makes one whose queue holds so many events.
 func NewLoop(queue int) *Loop {
-	return &Loop{events: make(chan func(*Core), queue), first: make(chan func(*Core), firstQueue), start: time.Now(), done: make(chan struct{})}
+	return &Loop{events: make(chan func(*Core), queue), first: make(chan func(*Core), firstQueue), clock: clock.New(), done: make(chan struct{})}
 }
 
-// Now is a wall-clock reading at the start plus what the monotonic clock has counted since: it never runs backwards
-// and is never near zero, so that a start before this host's own has a place on it.
-func (l *Loop) Now() time.Duration {
-	return time.Duration(l.start.UnixNano()) + time.Since(l.start)
-}
+// Now is the process's clock.
+func (l *Loop) Now() time.Duration { return l.clock.Now() }
 
 // Run owns c until ctx ends, then calls Stop.
 func (l *Loop) Run(ctx context.Context, c *Core) {
--- a/internal/plan/serve/serve.go
+++ b/internal/plan/serve/serve.go
@@ -22,6 +22,7 @@
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
+	"weirhaven/internal/clock"
 	fleetdecide "weirhaven/internal/fleet/decide"
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/keys"
@@ -81,8 +82,11 @@
 	end  context.CancelFunc
 }
 
-// now is a clock that hosts would agree on, but for what their clocks differ.
-func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+var processClock = clock.New()
+
+// now is a clock that hosts would agree on, but for what their clocks differ. Leases are spans on it: a step of the wall clock
+// neither ends nor prolongs one.
+func now() time.Duration { return processClock.Now() }
 
 // Run serves until ctx ends.
 func Run(ctx context.Context, conf *wpb.PlannerConf, o Options) error { return run(ctx, conf, o, nil) }
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -154,15 +154,16 @@
 // gateway's sending cancels, as a close does.
 func (p *Proxy) pass(x *pair, to, from net.Conn) {
 	defer from.Close()
-	defer to.Close()
 	buffer := make([]byte, chunk)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && p.keeps(x) {
-			n = 0
+		dropped := p.drops(x)
+		if dropped && from == x.far {
+			return // the server sees that its answer came to nothing; the gateway hears nothing at all
 		}
-		if n > 0 {
+		if n > 0 && !dropped {
 			if _, err := to.Write(buffer[:n]); err != nil {
+				to.Close()
 				return
 			}
 		}
@@ -170,13 +171,14 @@
 			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
 				tcp.SetLinger(0)
 			}
+			to.Close()
 			return
 		}
 	}
 }
 
-// keeps tells whether what was read is dropped.
-func (p *Proxy) keeps(x *pair) bool {
+// drops tells whether what was read is dropped.
+func (p *Proxy) drops(x *pair) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x.silenced = x.silenced || p.trouble.Silent
