--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -226,7 +226,8 @@
 	ended   chan policy.Ending
 	reloads chan *conf.Config
 	config  *conf.Config
-	toBrick func(ctx context.Context, address string) (net.Conn, error) // to bricks
+	toBrick func(ctx context.Context, address string) (net.Conn, error)     // to bricks
+	listen  func(ctx context.Context, address string) (net.Listener, error) // for clients
 	stop    context.CancelFunc
 	done    chan error
 	run     *Host
@@ -262,7 +263,7 @@
 func (h *host) start() {
 	t := h.t
 	up := make(chan net.Addr, 1)
-	run := &Host{Config: h.config, Log: slog.New(slog.NewTextHandler(t.Output(), &slog.HandlerOptions{Level: slog.LevelError})), Up: func(a net.Addr) { up <- a }, Dial: h.toBrick,
+	run := &Host{Config: h.config, Log: slog.New(slog.NewTextHandler(t.Output(), &slog.HandlerOptions{Level: slog.LevelError})), Up: func(a net.Addr) { up <- a }, Dial: h.toBrick, Listen: h.listen,
 		Start: func(p policy.Host, s policy.Settings) hostloop.Decider { return &watched{policy.New(p, s), h.ended} }}
 	h.run = run
 	ctx, stop := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/platform/syscalls_test.go
@@ -0,0 +1,123 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"weirhaven/policy"
+)
+
+// A connect that fails on this machine for a moment says nothing of the server: the request is served, and no attempt ended
+// as one that the server refused.
+func TestConnectFailsHere(t *testing.T) {
+	for _, number := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS, syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED} {
+		t.Run(number.Error(), func(t *testing.T) {
+			t.Parallel()
+			var failures atomic.Int32
+			h := aHost(t, newBrick(t, answers))
+			h.toBrick = func(ctx context.Context, address string) (net.Conn, error) {
+				if failures.Add(1) <= 4 {
+					return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", number)}
+				}
+				return new(net.Dialer).DialContext(ctx, "tcp", address)
+			}
+			h.start()
+			want(t, h.dial(), read("a1"), 200, "answer 0")
+			h.how(policy.Completed)
+		})
+	}
+}
+
+// failingListener fails some accepts.
+type failingListener struct {
+	net.Listener
+	number   syscall.Errno
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", l.number)}
+	}
+	return l.Listener.Accept()
+}
+
+// An accept that fails for a moment costs no healthy connection, and accepting goes on; only where this process has no
+// descriptor left is one closed.
+func TestAcceptFails(t *testing.T) {
+	for _, number := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.EPROTO} {
+		t.Run(number.Error(), func(t *testing.T) {
+			t.Parallel()
+			l := &failingListener{number: number}
+			h := aHost(t, newBrick(t, answers))
+			h.listen = func(ctx context.Context, address string) (net.Listener, error) {
+				var err error
+				l.Listener, err = new(net.ListenConfig).Listen(ctx, "tcp", address)
+				return l, err
+			}
+			h.start()
+			var open []net.Conn
+			for i := range 4 {
+				c := h.dial()
+				want(t, c, read(fmt.Sprint("a", i)), 200, fmt.Sprint("answer ", i))
+				open = append(open, c)
+			}
+			l.failures.Store(20)
+			want(t, h.dial(), read("b1"), 200, "answer 4") // in the kernel's queue, or accepted before the first failure
+			want(t, h.dial(), read("b2"), 200, "answer 5")
+			for i, c := range open {
+				want(t, c, read(fmt.Sprint("c", i)), 200, fmt.Sprint("answer ", 6+i))
+			}
+		})
+	}
+}
+
+// A connection that breaks with ETIMEDOUT or EHOSTUNREACH after the request was written may have run it; one whose write fails
+// halfway never did.
+func TestConnectionBreaks(t *testing.T) {
+	for _, number := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET, syscall.EPIPE} {
+		for _, half := range []bool{false, true} {
+			t.Run(fmt.Sprint(number.Error(), half), func(t *testing.T) {
+				t.Parallel()
+				h := aHost(t, newBrick(t, answers))
+				h.toBrick = func(ctx context.Context, address string) (net.Conn, error) {
+					nc, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+					return &breaking{Conn: nc, number: number, half: half}, err
+				}
+				h.start()
+				wanted := map[bool]struct {
+					status int
+					how    policy.Ending
+				}{false: {504, policy.Broken}, true: {503, policy.Unconnected}}[half]
+				want(t, h.dial(), write("a1", "x"), wanted.status, "")
+				h.how(wanted.how)
+			})
+		}
+	}
+}
+
+// breaking fails at the write, after half of the request, or at the read behind it.
+type breaking struct {
+	net.Conn
+	number syscall.Errno
+	half   bool
+}
+
+func (b *breaking) Write(p []byte) (int, error) {
+	if b.half {
+		n, _ := b.Conn.Write(p[:len(p)/2])
+		return n, os.NewSyscallError("write", b.number)
+	}
+	return b.Conn.Write(p)
+}
+
+func (b *breaking) Read(p []byte) (int, error) {
+	time.Sleep(10 * ms)
+	return 0, os.NewSyscallError("read", b.number)
+}
