--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -54,6 +54,8 @@
 	nc     net.Conn
 	reader *http1.Reader
 	used   bool // an answer came on it
+
+	incarnation uint32 // of the process that it leads to
 }
 
 func newLoad(r *run, rng *rand.Rand) *load {
@@ -172,11 +174,12 @@
 		pool.idle = pool.idle[:n-1]
 		return c, nil
 	}
+	incarnation := l.r.processes[process].incarnation.Load()
 	nc, err := net.DialTimeout("tcp", l.r.processes[process].address, 250*time.Millisecond)
 	if err != nil {
 		return nil, err
 	}
-	return &connection{nc: nc, reader: http1.NewReader(nc)}, nil
+	return &connection{nc: nc, reader: http1.NewReader(nc), incarnation: incarnation}, nil
 }
 
 func (l *load) put(process int, c *connection) {
@@ -199,7 +202,7 @@
 		io.WriteString(c.nc, text[:last])
 		time.Sleep(30 * time.Millisecond)
 	}
-	seen := &wpb.Seen{What: wpb.Seen_ASKED, Host: uint32(q.process), Incarnation: l.r.processes[q.process].incarnation.Load(), Command: q.number, First: q.number,
+	seen := &wpb.Seen{What: wpb.Seen_ASKED, Host: uint32(q.process), Incarnation: c.incarnation, Command: q.number, First: q.number,
 		Volume: q.volume, Plan: uint32(q.plan), QueueType: uint32(q.class), Units: float64(q.units), Cell: int32(q.cell), Timeout: int64(requestTime)}
 	l.r.rec.See(seen)
 	if _, err := io.WriteString(c.nc, text[last:]); err != nil {
