Test: whoever reads the logs stalls or ends, failing

Cause: found by asking what else the event loop waits for. Logs go to standard error in the loop: once a pipe is full every request waits, and a write to a pipe whose reader has ended is a SIGPIPE on descriptor 2, which ends the process.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := os.OpenFile(p.file(".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := p.openLog()
 	if err != nil {
 		return err
 	}
@@ -130,6 +130,25 @@
 	return nil
 }
 
+// openLog is where the process writes its log.
+func (p *process) openLog() (*os.File, error) {
+	if p.r.options.Logs == LogsKept {
+		return os.OpenFile(p.file(".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	if p.r.options.Logs == LogsBroken {
+		reader.Close()
+	} else {
+		p.r.mu.Lock()
+		p.r.pipes = append(p.r.pipes, reader)
+		p.r.mu.Unlock()
+	}
+	return writer, nil
+}
+
 func (p *process) awaitReady(known agent.List) error {
 	began := time.Now()
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,10 +29,21 @@
 	Menu      []string // names of troubles; empty: all
 	Program   []string // the command line of a gateway process
 	Env       []string // more of its environment
+	Logs      Logs     // who reads them
 	Folder    string   // of configurations and logs; empty: a temporary one
 	Out       io.Writer
 }
 
+// Logs is what becomes of the processes' logs.
+type Logs int
+
+// Who reads the logs of the processes.
+const (
+	LogsKept    Logs = iota // in a file of the run's folder
+	LogsStalled             // a pipe that nobody reads
+	LogsBroken              // a pipe whose reader has ended
+)
+
 // Report is how a run ended.
 type Report struct {
 	Seed        int64
@@ -89,7 +100,8 @@
 	serial     int
 	attempts   map[uint64]uint32
 	violations []Violation
-	down       bool // discovery
+	down       bool       // discovery
+	pipes      []*os.File // of logs that nobody reads
 }
 
 // Run plays a whole run. An error means that it could not be played, not that an invariant was broken.
@@ -137,6 +149,9 @@
 		s.proxy.Close()
 		s.brick.Stop()
 	}
+	for _, f := range r.pipes {
+		f.Close()
+	}
 }
 
 func (r *run) violated(v Violation) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,7 +30,7 @@
 	if fault.decider != nil {
 		start = fault.decider
 	}
-	c := platform.Command{Config: os.Getenv("EDGE_CONFIG"), State: time.Second, Customize: func(h *platform.Host) {
+	c := platform.Command{Config: os.Getenv("EDGE_CONFIG"), State: time.Second, Debug: os.Getenv("EDGE_DEBUG") != "", Customize: func(h *platform.Host) {
 		if fault.toServer != nil {
 			h.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 				nc, err := new(net.Dialer).DialContext(ctx, "tcp", address)
@@ -182,13 +182,13 @@
 	return a.Instance.Taken(c, queue, plan, object, cell, 1, units, giveUp, repeat)
 }
 
-func play(t *testing.T, o Options, name string) *Report {
+func play(t *testing.T, o Options, name string, more ...string) *Report {
 	t.Helper()
 	program, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	o.Program, o.Env, o.Folder, o.Out = []string{program, "platform"}, []string{faultVariable + "=" + name}, t.TempDir(), io.Discard
+	o.Program, o.Env, o.Folder, o.Out = []string{program, "platform"}, append(more, faultVariable+"="+name), t.TempDir(), io.Discard
 	report, err := Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
@@ -207,6 +207,22 @@
 	}
 }
 
+// Whoever reads the logs stalls, or ends: the processes serve on.
+func TestLogReaderFails(t *testing.T) {
+	for name, logs := range map[string]Logs{"stalled": LogsStalled, "broken": LogsBroken} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			report := play(t, Options{Seed: 1, Processes: 2, Length: 8 * time.Second, Rate: 40, Menu: []string{"clients-slow"}, Logs: logs}, "", "EDGE_DEBUG=true")
+			for _, v := range report.Violations {
+				t.Error(v)
+			}
+			if report.Completed < report.Requests/4 {
+				t.Errorf("%v; %d completed", report, report.Completed)
+			}
+		})
+	}
+}
+
 // Each guard broken on purpose turns the run red, by the check that is meant for it.
 func TestSoakFindsFaults(t *testing.T) {
 	for name, f := range faults {
