--- a/internal/edge/main.go
+++ b/internal/edge/main.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/life"
+	"weirhaven/internal/logging"
 	"weirhaven/internal/settings"
 	"weirhaven/internal/wpb"
 	"weirhaven/policy"
@@ -36,7 +36,9 @@
 	if c.Form != "" {
 		conf.Log.Form = c.Form
 	}
-	log, err := Logger(os.Stderr, conf.Log)
+	output := logging.Stderr()
+	defer output.Close()
+	log, err := Logger(output, conf.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/plan/serve/main.go
+++ b/internal/plan/serve/main.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 
 	"weirhaven/internal/life"
+	"weirhaven/internal/logging"
 	"weirhaven/internal/settings"
 	"weirhaven/internal/wpb"
 )
@@ -23,7 +23,9 @@
 	if err := settings.Load(c.Config, conf); err != nil {
 		return err
 	}
-	log, err := logger(os.Stderr, conf.Log)
+	output := logging.Stderr()
+	defer output.Close()
+	log, err := logger(output, conf.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,7 @@
 	"weirhaven/internal/fleet/decide"
 	"weirhaven/internal/fleet/member"
 	"weirhaven/internal/hostloop"
+	"weirhaven/internal/logging"
 	"weirhaven/internal/platform/conf"
 	"weirhaven/internal/platform/front"
 	"weirhaven/internal/platform/observe"
@@ -60,7 +61,9 @@
 	if c.Debug {
 		level = slog.LevelDebug
 	}
-	h := &Host{Config: config, Log: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})), Start: start, State: c.State}
+	output := logging.Stderr()
+	defer output.Close()
+	h := &Host{Config: config, Log: slog.New(slog.NewTextHandler(output, &slog.HandlerOptions{Level: level})), Start: start, State: c.State}
 	if c.Customize != nil {
 		c.Customize(h)
 	}
