Tests: one entry that can't be read makes the watch deaf, failing

Cause: found by reading conf.list: an unknown phase or address anywhere in a list is an error of the whole list, the watch ends, asks again and meets the same entry: no drain is heard any more. Measured: the other entries are not told in 3 s.

--- a/internal/platform/starts_test.go
+++ b/internal/platform/starts_test.go
@@ -36,3 +36,24 @@
 		t.Errorf("%d requests reached a server that had just started, which bears 2 from this host", n)
 	}
 }
+
+// A server whose entry can't be read gets nothing new until one can: it may have been told to drain.
+func TestUnreadableEntryOfServer(t *testing.T) {
+	b := newBrick(t, answers)
+	h := newHost(t, b)
+	want(t, h.dial(), read("a1"), 200, "answer 0")
+	<-b.seen
+	h.agent.lines <- `{"revision":8,"complete":false,"members":[{"id":"b0","host_port":"nowhere","locality":"a","cell":0,"phase":"in_service"}]}`
+	deadline := time.Now().Add(2 * time.Second)
+	for i := 0; time.Now().Before(deadline); i++ {
+		if status, _ := ask(h.dial(), read(fmt.Sprint("b", i))); status == 503 {
+			h.agent.tell(9, false, b.line("b0", 0, "in_service"))
+			for ; time.Now().Before(deadline); i++ {
+				if status, _ := ask(h.dial(), read(fmt.Sprint("c", i))); status == 200 {
+					return
+				}
+			}
+		}
+	}
+	t.Error("an entry that can't be read changed nothing, or for good")
+}
--- a/internal/platform/watch/watch_test.go
+++ b/internal/platform/watch/watch_test.go
@@ -225,3 +225,19 @@
 	}()
 	hears(t, told, 8)
 }
+
+// One entry that can't be read does not keep the others of its list from being told.
+func TestUnreadableEntry(t *testing.T) {
+	a := newAgent(t)
+	_, told := watching(t, a)
+	begin(a.next("7"), `{"revision":8,"complete":false,"members":[{"id":"odd","host_port":"127.0.0.1:1","cell":0,"phase":"resting"},
+		{"host_port":"127.0.0.1:2","cell":0,"phase":"in_service"},{"id":"s","host_port":"127.0.0.1:3","cell":0,"phase":"terminating"}]}`)
+	select {
+	case l := <-told:
+		if len(l.Lines) != 2 || l.Lines[0].Name != "odd" || l.Lines[0].Serving || l.Lines[1].Name != "s" || l.Lines[1].Serving {
+			t.Errorf("%+v", l.Lines)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the list is not told")
+	}
+}
