--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -554,6 +554,7 @@
 	Dated               bool          // its start is known
 	Age                 time.Duration // since its start, on the teller's clock
 	Started             time.Duration // for Told, where all go by one clock; 0: long ago
+	Unreadable          bool          // for Told: nothing but the name could be read
 }
 
 // lines puts starts on this host's clock.
@@ -586,12 +587,25 @@
 		}
 	}
 	for _, l := range lines {
+		if l.Unreadable {
+			c.suspend(l.Name, l.Started)
+			continue
+		}
 		c.BrickIs(l.Name, l.Address, l.Zone, l.Cell, l.Serving, l.Gone, l.Started)
 	}
 	c.moved = true
 	c.told()
 }
 
+// suspend takes a server whose entry can't be read for one that drains, since that may be what it says. One that is not known
+// is passed over.
+func (c *Core) suspend(name string, boot time.Duration) {
+	if b := c.bricks[name]; b != nil {
+		c.ways.Log("an entry that can't be read; nothing new goes to " + name)
+		c.BrickIs(name, b.address, b.zone, b.cell, false, false, boot)
+	}
+}
+
 // ListHolds tells that the list service still has nothing new.
 func (c *Core) ListHolds() { c.fleet.ListHolds(c.now) }
 
--- a/internal/platform/starts/starts.go
+++ b/internal/platform/starts/starts.go
@@ -48,7 +48,8 @@
 		switch {
 		case line.Gone:
 			delete(d.servers, line.Name)
-		case listed && before.told == line.Started:
+		case line.Unreadable && !listed:
+		case line.Unreadable, listed && before.told == line.Started:
 			d.servers[line.Name] = before
 			line.Started = before.start
 		default:
--- a/internal/platform/watch/watch.go
+++ b/internal/platform/watch/watch.go
@@ -159,6 +159,9 @@
 						t.stop()
 					}
 				}
+				if !up {
+					w.o.Log.Info("watch heard again", "agent", x.from.from, "silent", time.Since(heard))
+				}
 				tries, wait, up, heard = []*try{x.from}, soonest, true, time.Now()
 				next.Reset(doubt)
 				if x.list != nil {
