--- a/internal/edge/objects.go
+++ b/internal/edge/objects.go
@@ -147,7 +147,7 @@
 }
 
 func (o *objects) Gone(t *hostloop.Task) {
-	o.edge.loop.Post(func(c *hostloop.Core) { c.Gone(t) })
+	o.edge.loop.First(func(c *hostloop.Core) { c.Gone(t) })
 }
 
 // Cells are those that the planner names for the volume, of them the ones that serve; else all that serve.
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -49,7 +49,7 @@
 		s.edge.log.Info("client connection ended", "client", hello.Get("Name"), "in flight", len(left), "err", err)
 	}
 	for _, t := range left {
-		s.edge.loop.Post(func(c *hostloop.Core) { c.Gone(t) })
+		s.edge.loop.First(func(c *hostloop.Core) { c.Gone(t) })
 	}
 }
 
@@ -80,7 +80,7 @@
 			delete(s.tasks, m.ID)
 			s.mu.Unlock()
 			if t != nil {
-				s.edge.loop.Post(func(c *hostloop.Core) { c.Gone(t) })
+				s.edge.loop.First(func(c *hostloop.Core) { c.Gone(t) })
 			}
 		case lineproto.Fleet, lineproto.Forget, lineproto.Tape:
 			s.operate(m)
--- a/internal/platform/front/eviction.go
+++ b/internal/platform/front/eviction.go
@@ -42,7 +42,7 @@
 	lingerSlots = overflow / 2
 	// While accept has been waiting for patience, connections wait in the kernel's queue: nothing is spared for longer than spareLeast.
 	patience   = 20 * time.Millisecond
-	spareLeast = 5 * time.Millisecond
+	spareLeast = 25 * time.Millisecond
 	// An accept that takes acceptBlocks found the kernel's queue empty.
 	acceptBlocks = time.Millisecond
 	// roomPoll is how often room is looked for while there is none.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -113,15 +113,15 @@
 	observe *observe.Recorder
 }
 
-// Of the descriptors some are set aside for the listener, the watch, files and the runtime; clients may use a part of
+// Of the descriptors some are set reservedDescriptors for the listener, the watch, files and the runtime; clients may use a part of
 // the rest, bricks what is left.
 const (
-	aside       = 24
-	clientsPart = 0.55
-	bodiesPart  = 6  // of the memory, for answers on their way
-	aheadPart   = 16 // of the memory, for requests before their turn
-	loopQueue   = 4096
-	untold      = time.Second // that a new host waits for its agent's first word before it is ready
+	reservedDescriptors = 24
+	clientsPart         = 0.55
+	bodiesPart          = 6  // of the memory, for answers on their way
+	aheadPart           = 16 // of the memory, for requests before their turn
+	loopQueue           = 4096
+	readyTimeout        = time.Second // that a new host waits for its agent's first word before it is ready
 )
 
 // Once the end is told the platform kills a host no sooner than after the longest command timeout, killWait at most, and
@@ -145,7 +145,7 @@
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	defer l.Close()
-	usable := c.Limits.Sockets - aside
+	usable := c.Limits.Sockets - reservedDescriptors
 	clients := int(float64(usable) * clientsPart)
 	h.loop = hostloop.NewLoop(loopQueue)
 	h.observe = observe.New(h.Log)
@@ -153,7 +153,7 @@
 	if c.Settings.DrainGrace > 0 { // a drain may be told while a dispatch waits for its connection
 		connect = min(connect, c.Settings.DrainGrace)
 	}
-	h.pool = pool.New(pool.Options{Loop: h.loop, Most: usable - clients, Connect: connect, Idle: c.Idle / 2, Log: h.Log, Observe: h.observe, Dial: h.Dial,
+	h.pool = pool.New(pool.Options{Loop: h.loop, MaxConnections: usable - clients, Connect: connect, Idle: c.Idle / 2, Log: h.Log, Observe: h.observe, Dial: h.Dial,
 		Bodies: int64(c.Limits.MemoryMB) << 20 / bodiesPart})
 	core := hostloop.New(c.Settings, decide.Rules{}, h.Start, ways{h}, nil, time.Second, h.loop.Now())
 	dates := starts.New() // used in the loop only, once that runs
@@ -181,7 +181,7 @@
 	spawn(func() { // what the agent has counts from the first moment on; while it is silent the known list must do
 		select {
 		case <-current:
-		case <-time.After(untold):
+		case <-time.After(readyTimeout):
 		case <-inner.Done():
 		}
 		f.Ready()
--- a/internal/platform/pool/attempt.go
+++ b/internal/platform/pool/attempt.go
@@ -11,8 +11,8 @@
 	"weirhaven/internal/platform/observe"
 )
 
-// job is an attempt until it is reported or given up.
-type job struct {
+// attempt is an attempt until it is reported or given up.
+type attempt struct {
 	id       uint64
 	task     *hostloop.Task
 	lead     []byte // the task's, which drops its body with the final answer
@@ -35,7 +35,7 @@
 const lateAfterEnd = 100 * time.Millisecond
 
 // render is an attempt's bytes, which tell the server how much time is left.
-func (j *job) render(left time.Duration) []byte {
+func (j *attempt) render(left time.Duration) []byte {
 	b := make([]byte, 0, len(j.lead)+96+len(j.body))
 	b = append(b, j.lead...)
 	b = http1.AppendField(b, "X-Remaining-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
@@ -47,8 +47,8 @@
 
 // send is the one place where an attempt's bytes leave. It decides by the state and the clock of that very moment whether
 // the attempt may still begin; begun is false if not a byte was written.
-func (c *conn) send(j *job) (begun, whole bool, err error) {
-	now := c.line.pool.o.Loop.Now
+func (c *conn) send(j *attempt) (begun, whole bool, err error) {
+	now := c.endpoint.pool.o.Loop.Now
 	decided := now()
 	if !c.begin(j, decided) {
 		return false, false, nil
@@ -63,13 +63,13 @@
 }
 
 // begin tells whether an attempt may be written now, and marks it as begun if so.
-func (c *conn) begin(j *job, now time.Duration) bool {
-	p := c.line.pool
+func (c *conn) begin(j *attempt, now time.Duration) bool {
+	p := c.endpoint.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, ended := j.task.EndedAt()
 	switch {
-	case c.line.out[j.id] != j, c.dead: // it was given up
+	case c.endpoint.out[j.id] != j, c.dead: // it was given up
 	case ended, now >= j.deadline, j.notAfter != 0 && now >= j.notAfter:
 	default:
 		j.begun = true
@@ -78,8 +78,8 @@
 }
 
 // check counts what a write broke that began at started.
-func (c *conn) check(j *job, told, started time.Duration) {
-	record := c.line.pool.o.Observe
+func (c *conn) check(j *attempt, told, started time.Duration) {
+	record := c.endpoint.pool.o.Observe
 	if at, ended := j.task.EndedAt(); ended && started-at > lateAfterEnd {
 		record.Violated(observe.SendInTime, j.task.Trace, fmt.Sprintf("an attempt began %v after its request ended", started-at))
 	}
--- a/internal/platform/pool/conn.go
+++ b/internal/platform/pool/conn.go
@@ -17,23 +17,23 @@
 
 // conn is one connection, owned by one goroutine.
 type conn struct {
-	line  *line
-	nc    net.Conn // nil: not up yet
-	in    *http1.Reader
-	began time.Time          // the dial
-	stop  context.CancelFunc // of the dial
-	next  *job               // handed over while it was idle
-	dead  bool               // closed, or about to be
-	used  bool               // an answer came on it
-	since time.Time          // idle; zero: never yet
-	lay   time.Duration      // idle before the dispatch that is out
+	endpoint *endpoint
+	nc       net.Conn // nil: not up yet
+	in       *http1.Reader
+	began    time.Time          // the dial
+	stop     context.CancelFunc // of the dial
+	next     *attempt           // handed over while it was idle
+	dead     bool               // closed, or about to be
+	used     bool               // an answer came on it
+	since    time.Time          // idle; zero: never yet
+	idled    time.Duration      // idle before the attempt that is out
 }
 
 var longAgo = time.Unix(1, 0)
 
 // run brings a connection up and serves whoever waits for one.
 func (c *conn) run(ctx context.Context) {
-	p := c.line.pool
+	p := c.endpoint.pool
 	defer func() {
 		if cause := recover(); cause != nil {
 			c.panicked(cause)
@@ -59,12 +59,12 @@
 
 // panicked reports the attempt on a connection whose goroutine met a fault of this program: it may have run.
 func (c *conn) panicked(cause any) {
-	p := c.line.pool
-	p.o.Log.Error("panic on a connection to a server", "server", c.line.brick, "cause", cause, "stack", string(debug.Stack()))
+	p := c.endpoint.pool
+	p.o.Log.Error("panic on a connection to a server", "server", c.endpoint.brick, "cause", cause, "stack", string(debug.Stack()))
 	p.o.Observe.Count(observe.Attempt, observe.Panicked)
 	p.mu.Lock()
-	var lost *job
-	for _, j := range c.line.out {
+	var lost *attempt
+	for _, j := range c.endpoint.out {
 		if j.conn == c {
 			lost = j
 		}
@@ -73,15 +73,15 @@
 	switch {
 	case lost == nil:
 	case lost.begun:
-		c.line.report(lost, p.o.Loop.Now(), policy.Broken, nil, 0)
+		c.endpoint.report(lost, p.o.Loop.Now(), policy.Broken, nil, 0)
 	default:
-		c.line.report(lost, p.o.Loop.Now(), policy.Unsent, nil, 0)
+		c.endpoint.report(lost, p.o.Loop.Now(), policy.Unsent, nil, 0)
 	}
 }
 
 // up takes a connection into use, or tells one that waited that there is none.
-func (c *conn) up(nc net.Conn, err error) *job {
-	l, p := c.line, c.line.pool
+func (c *conn) up(nc net.Conn, err error) *attempt {
+	l, p := c.endpoint, c.endpoint.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.dialing = slices.DeleteFunc(l.dialing, func(x *conn) bool { return x == c })
@@ -104,27 +104,27 @@
 		j.conn = c
 		return j
 	}
-	c.nc.SetDeadline(time.Now().Add(p.life.Most()))
+	c.nc.SetDeadline(time.Now().Add(p.idleLimit.Most()))
 	c.since = time.Now()
 	l.idle = append(l.idle, c)
 	return nil
 }
 
-// exchange sends a job and reads its answer; it tells whether the connection can be used on.
-func (c *conn) exchange(j *job) bool {
-	now := c.line.pool.o.Loop.Now
+// exchange sends an attempt and reads its answer; it tells whether the connection can be used on.
+func (c *conn) exchange(j *attempt) bool {
+	now := c.endpoint.pool.o.Loop.Now
 	begun, whole, err := c.send(j)
 	switch {
 	case !begun:
-		c.line.report(j, now(), policy.Unsent, nil, 0)
+		c.endpoint.report(j, now(), policy.Unsent, nil, 0)
 		return false
 	case err != nil && !whole:
 		c.learn(j, true)
-		c.line.report(j, now(), policy.Unconnected, nil, 0)
+		c.endpoint.report(j, now(), policy.Unconnected, nil, 0)
 		return false
 	case err != nil:
 		c.learn(j, true)
-		c.line.report(j, now(), policy.Broken, nil, 0)
+		c.endpoint.report(j, now(), policy.Broken, nil, 0)
 		return false
 	}
 	h, body, err := c.read(j)
@@ -137,11 +137,11 @@
 			how = policy.Errored
 		}
 		c.learn(j, how == policy.Broken)
-		c.line.report(j, at, how, nil, 0)
+		c.endpoint.report(j, at, how, nil, 0)
 		return false
 	}
 	c.learn(j, false)
-	good := !h.Close && c.in.Buffered() == 0 // what stands after an answer belongs to no dispatch
+	good := !h.Close && c.in.Buffered() == 0 // what stands after an answer belongs to no attempt
 	if c.in.Buffered() > 0 {
 		c.stray(0)
 	}
@@ -153,20 +153,20 @@
 		how = policy.Turned
 	}
 	good = good && c.rest()
-	c.line.report(j, at, how, body, number(h.Get("Other-Hosts")))
+	c.endpoint.report(j, at, how, body, number(h.Get("Other-Hosts")))
 	return good
 }
 
 // stray notes that something came so long after an answer that nobody had asked for.
 func (c *conn) stray(after time.Duration) {
-	p := c.line.pool
+	p := c.endpoint.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Extra++
-	p.calm.Stray(after, p.o.Loop.Now())
+	p.quarantine.Stray(after, p.o.Loop.Now())
 }
 
-func (c *conn) read(j *job) (*http1.Head, []byte, error) {
+func (c *conn) read(j *attempt) (*http1.Head, []byte, error) {
 	if err := c.in.Await(); err != nil {
 		return nil, nil, err
 	}
@@ -179,7 +179,7 @@
 		n = MaxBody
 	}
 	if n > 0 && n <= MaxBody { // else no body is read
-		if err := c.line.pool.bodies.Acquire(j.ctx, n); err != nil {
+		if err := c.endpoint.pool.bodies.Acquire(j.ctx, n); err != nil {
 			return nil, nil, err
 		}
 		j.held = n
@@ -189,29 +189,29 @@
 }
 
 // learn tells what the connection's use shows of how long one may lie idle.
-func (c *conn) learn(j *job, broke bool) {
-	p := c.line.pool
+func (c *conn) learn(j *attempt, broke bool) {
+	p := c.endpoint.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.line.out[j.id] != j { // given up here
+	if c.endpoint.out[j.id] != j { // given up here
 		return
 	}
 	if c.since.IsZero() {
-		p.life.First(broke, p.o.Loop.Now())
-	} else if p.life.Next(c.lay, broke, p.o.Loop.Now()) {
-		p.o.Log.Info("connections to bricks may lie idle for another time now", "most", p.life.Most())
+		p.idleLimit.First(broke, p.o.Loop.Now())
+	} else if p.idleLimit.Next(c.idled, broke, p.o.Loop.Now()) {
+		p.o.Log.Info("connections to bricks may lie idle for another time now", "most", p.idleLimit.Most())
 	}
 }
 
 // spoilt counts an answer that can't be read, and now and then says why.
 func (c *conn) spoilt(why error) {
-	p := c.line.pool
+	p := c.endpoint.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Spoilt++
 	if now := time.Now(); now.Sub(p.told) >= time.Second {
 		p.told = now
-		p.o.Log.Info("an answer that can't be read", "brick", c.line.brick, "why", why, "so far", p.counts.Spoilt)
+		p.o.Log.Info("an answer that can't be read", "brick", c.endpoint.brick, "why", why, "so far", p.counts.Spoilt)
 	}
 }
 
--- a/internal/platform/pool/dial.go
+++ b/internal/platform/pool/dial.go
@@ -36,14 +36,14 @@
 // connect opens the connection. A failure of this machine is not the server's: it is tried again within the time that an
 // attempt waits for its connection.
 func (c *conn) connect(ctx context.Context) (net.Conn, error) {
-	p := c.line.pool
+	p := c.endpoint.pool
 	for wait := redialFirst; ; wait = min(2*wait, redialMost) {
-		nc, err := p.o.Dial(ctx, c.line.address)
+		nc, err := p.o.Dial(ctx, c.endpoint.address)
 		if err == nil || !isLocal(err) {
-			c.line.localFailure(false)
+			c.endpoint.localFailure(false)
 			return nc, err
 		}
-		c.line.localFailure(true)
+		c.endpoint.localFailure(true)
 		var number syscall.Errno
 		errors.As(err, &number)
 		p.o.Observe.Count(observe.Redial, observe.Errno(number))
@@ -59,7 +59,7 @@
 }
 
 // localFailure notes whether the last dial failed on this machine.
-func (l *line) localFailure(failed bool) {
+func (l *endpoint) localFailure(failed bool) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	switch {
@@ -71,7 +71,7 @@
 }
 
 // unconnected is the outcome of an attempt that got no connection. The caller holds mu.
-func (l *line) unconnected() policy.Ending {
+func (l *endpoint) unconnected() policy.Ending {
 	if !l.localSince.IsZero() && time.Since(l.localSince) < localFailureMost {
 		return policy.Unsent
 	}
--- a/internal/platform/pool/park.go
+++ b/internal/platform/pool/park.go
@@ -9,36 +9,36 @@
 	"weirhaven/internal/platform/socket"
 )
 
-// rest puts a connection among the idle ones, before the outcome of its dispatch is told: what the module sends next
+// rest puts a connection among the idle ones, before the outcome of its attempt is told: what the module sends next
 // finds it there. It tells whether the connection is kept.
 func (c *conn) rest() bool {
-	p := c.line.pool
+	p := c.endpoint.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.nc.SetDeadline(time.Now().Add(p.life.Most()))
-	if c.dead || c.line.closed || p.ctx.Err() != nil {
+	c.nc.SetDeadline(time.Now().Add(p.idleLimit.Most()))
+	if c.dead || c.endpoint.closed || p.ctx.Err() != nil {
 		return false
 	}
 	c.since, c.used = time.Now(), true
-	c.line.idle = append(c.line.idle, c)
-	c.line.match()
+	c.endpoint.idle = append(c.endpoint.idle, c)
+	c.endpoint.match()
 	return true
 }
 
 func (c *conn) rested() time.Time { return c.since }
 
-// park waits until the connection gets a job or ends. A brick that closes it or sends what nobody asked for is noticed
+// park waits until the connection gets an attempt or ends. A server that closes it or sends what nobody asked for is noticed
 // here, before anything is written.
-func (c *conn) park() *job {
+func (c *conn) park() *attempt {
 	err := c.in.Await()
 	if err == nil {
 		c.stray(time.Since(c.since))
 	}
-	p := c.line.pool
+	p := c.endpoint.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if i := slices.Index(c.line.idle, c); i >= 0 {
-		c.line.idle = slices.Delete(c.line.idle, i, i+1)
+	if i := slices.Index(c.endpoint.idle, c); i >= 0 {
+		c.endpoint.idle = slices.Delete(c.endpoint.idle, i, i+1)
 	}
 	j := c.next
 	c.next = nil
@@ -49,11 +49,11 @@
 	if !c.dead && errors.Is(err, os.ErrDeadlineExceeded) && socket.Peek(c.nc) == socket.Quiet {
 		return j
 	}
-	if c.line.out[j.id] != j {
+	if c.endpoint.out[j.id] != j {
 		return nil
 	}
 	p.counts.Stale++
 	c.kill()
-	c.line.place(j)
+	c.endpoint.place(j)
 	return nil
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -26,6 +26,7 @@
 	pieces   atomic.Int32 // percent that send their request in pieces, slowly
 	fresh    atomic.Int32 // percent that ask on a new connection
 	burst    atomic.Int32 // times as many requests
+	quiet    atomic.Bool  // nobody asks
 	crowding atomic.Bool  // idle clients fill the descriptors: new connections may be closed unread
 }
 
@@ -99,6 +100,9 @@
 		case <-l.ctx.Done():
 			return
 		}
+		if l.habits.quiet.Load() {
+			continue
+		}
 		q := l.draw(process, rng)
 		l.spawn(func() { l.ask(q) })
 	}
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -26,6 +27,7 @@
 	{"kill", killSome},
 	{"reload", reloadSome},
 	{"reload-while-stopping", reloadWhileStopping},
+	{"reload-half-written", reloadHalfWritten},
 	{"throttle", throttleSome},
 	{"discovery-down", discoveryDown},
 	{"watch-silent", func(ctx context.Context, r *run, rng *rand.Rand) { r.eachAgent(rng, 2, (*agent.Agent).Silence) }},
@@ -53,6 +55,7 @@
 		r.load.habits.with(ctx, &r.load.habits.fresh, 90, 0)
 	}},
 	{"burst", func(ctx context.Context, r *run, rng *rand.Rand) { r.load.habits.with(ctx, &r.load.habits.burst, 4, 1) }},
+	{"quiet-then-burst", quietThenBurst},
 	{"clients-many", manyClients},
 	{"crowd", crowd},
 }
@@ -210,6 +213,36 @@
 	})
 }
 
+// reloadHalfWritten signals processes while their new configuration is being written.
+func reloadHalfWritten(ctx context.Context, r *run, rng *rand.Rand) {
+	together(some(rng, r.processes, 4), func(p *process) {
+		p.mu.Lock()
+		whole, err := os.ReadFile(p.file(".json"))
+		if err == nil {
+			err = os.WriteFile(p.file(".json"), whole[:len(whole)/2], 0o600)
+		}
+		p.mu.Unlock()
+		if err != nil {
+			return
+		}
+		p.signal(syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond)
+		if err := p.reload(); err != nil {
+			r.violated(Violation{Rule: "soak", Process: p.name(), Detail: err.Error()})
+		}
+	})
+}
+
+// quietThenBurst lets nobody ask for a while, and then everybody.
+func quietThenBurst(ctx context.Context, r *run, rng *rand.Rand) {
+	r.load.habits.quiet.Store(true)
+	<-ctx.Done()
+	r.load.habits.quiet.Store(false)
+	burst, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r.load.habits.with(burst, &r.load.habits.burst, 6, 1)
+}
+
 // throttleSome holds processes up for 50 to 150 ms, again and again.
 func throttleSome(ctx context.Context, r *run, rng *rand.Rand) {
 	for chosen := some(rng, r.processes, 3); ctx.Err() == nil; pause(ctx, 200*time.Millisecond) {
