--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -250,6 +250,9 @@
 	closing    bool
 	counts     Counts
 	tap        Tap // nil: nobody hears of what is over
+
+	// Overlapped, if set, hears of each attempt that began beside another one of its request where settings forbid that.
+	Overlapped func(request string)
 }
 
 // New makes a Core whose module is made by start, at a clock that stands at now.
@@ -886,7 +889,9 @@
 	overlaps := func(o *dispatch) bool { return o != begun && !o.over }
 	if c.oneAtATime && slices.ContainsFunc(x.outs, overlaps) {
 		c.counts.Overlapping++
-		c.ways.Log(fmt.Sprintf("invariant broken: a second attempt of request %s beside the first", x.task.Trace))
+		if c.Overlapped != nil {
+			c.Overlapped(x.task.Trace)
+		}
 	}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -156,6 +156,9 @@
 	h.pool = pool.New(pool.Options{Loop: h.loop, MaxConnections: usable - clients, Connect: connect, Idle: c.Idle / 2, Log: h.Log, Observe: h.observe, Dial: h.Dial,
 		Bodies: int64(c.Limits.MemoryMB) << 20 / bodiesPart})
 	core := hostloop.New(c.Settings, decide.Rules{}, h.Start, ways{h}, nil, time.Second, h.loop.Now())
+	core.Overlapped = func(request string) {
+		h.observe.Violated(observe.OneAttempt, request, "an attempt began beside another one")
+	}
 	dates := starts.New() // used in the loop only, once that runs
 	core.Told(true, dates.Date(true, c.Known.Lines, h.times(-1)))
 	inner, stopLoop := context.WithCancel(context.Background())
@@ -280,7 +283,7 @@
 		"held", n.Held, "out", n.Out, "dispatches", n.Dispatches, "further", n.Further, "late", n.Late,
 		"completed/errored/turned/timed out/not connected/broken/called off/unsent", fmt.Sprint(n.Ended), "lag", lag, "cpu", cpu,
 		"heap", m.HeapAlloc, "sys", m.Sys, "goroutines", runtime.NumGoroutine(), "clients", a.Open, "accepted", a.Accepted,
-		"evicted", a.Evicted, "refused", a.Refused, "shed", a.Shed, "violations", h.observe.Violations()+n.Overlapping, "to bricks", b.Open, "opened", b.Opened,
+		"evicted", a.Evicted, "refused", a.Refused, "shed", a.Shed, "violations", h.observe.Violations(), "to bricks", b.Open, "opened", b.Opened,
 		"stale", b.Stale, "spoilt", b.Spoilt, "extra", b.Extra, "exhausted", b.Exhausted)
 }
 
--- a/internal/platform/pool/attempt.go
+++ b/internal/platform/pool/attempt.go
@@ -9,6 +9,7 @@
 	"weirhaven/internal/hostloop"
 	"weirhaven/internal/http1"
 	"weirhaven/internal/platform/observe"
+	"weirhaven/policy"
 )
 
 // attempt is an attempt until it is reported or given up.
@@ -28,6 +29,10 @@
 	wait     *time.Timer // while it waits
 }
 
+// outcomes names how an attempt ended, by policy.Ending: the word in log, counter and page.
+var outcomes = [...]observe.Reason{policy.Completed: "completed", policy.Errored: "errored", policy.Turned: "turned-away", policy.TimedOut: "timed-out",
+	policy.Unconnected: "not-connected", policy.Broken: "broken", policy.CalledOff: "called-off", policy.Unsent: "unsent"}
+
 // heldUp is how long the process may be held up between reading its clock and writing; rules count with it.
 const heldUp = 150 * time.Millisecond
 
--- a/internal/platform/pool/pool.go
+++ b/internal/platform/pool/pool.go
@@ -386,8 +386,8 @@
 		p.o.Observe.Violated(observe.OneOutcome, j.task.Trace, "an attempt was reported twice")
 	}
 	if mine {
-		p.o.Observe.Count(observe.Attempt, observe.Reason(how.String()))
-		p.o.Log.Debug("attempt", "request", j.task.Trace, "server", l.brick, "outcome", how.String(), "begun", j.begun)
+		p.o.Observe.Count(observe.Attempt, outcomes[how])
+		p.o.Log.Debug("attempt", "request", j.task.Trace, "server", l.brick, "outcome", string(outcomes[how]), "begun", j.begun)
 	}
 	release := func() { p.bodies.Release(j.held) }
 	if !mine || !p.o.Loop.Post(func(c *hostloop.Core) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,12 +36,39 @@
 	exit   error
 	ended  bool // by this run
 
+	held []interval // stopped by this run for longer than a process may be held up
+
 	known struct {
 		sync.Mutex
 		told map[string]int64 // by server: what was told last, as a mark
 	}
 }
 
+// interval is a stretch of the run.
+type interval struct{ from, to time.Duration }
+
+// noteHeld notes that the process was stopped. The machine may have made more of it than was meant.
+func (p *process) noteHeld(from, to time.Duration) {
+	if to-from <= heldUp {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = append(p.held, interval{from, to})
+}
+
+// heldBeyond is by how much the process was stopped for longer than allowed within a stretch of the run.
+func (p *process) heldBeyond(from, to time.Duration) (beyond time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.held {
+		if h.from < to && h.to > from {
+			beyond = max(beyond, h.to-h.from-heldUp)
+		}
+	}
+	return beyond
+}
+
 // tellWithin is when a change counts as told at the latest, whether it arrived or not, after it could be reached.
 const (
 	tellWithin   = 6 * time.Second
@@ -309,6 +338,17 @@
 	wg.Wait()
 }
 
+// mostGoroutines bounds those of a process: two for each descriptor, and what it needs besides.
+const mostGoroutines = 2*sockets + 50
+
+// stateFigures finds heap and goroutines in a state line.
+var stateFigures = regexp.MustCompile(`msg=state .*heap=(\d+) .*goroutines=(\d+)`)
+
+func figure(text string) int {
+	n, _ := strconv.Atoi(text)
+	return n
+}
+
 // counters reads a process's log for invariants that its own checks found broken, panics, and the largest figures of its state.
 func (p *process) counters() (violations []Violation) {
 	f, err := os.Open(p.file(".log"))
@@ -320,6 +360,9 @@
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
 		text := lines.Text()
+		if found := stateFigures.FindStringSubmatch(text); found != nil && (figure(found[1]) > memoryMB<<20/2 || figure(found[2]) > mostGoroutines) {
+			violations = append(violations, Violation{Rule: "bounded state", Process: p.name(), Detail: text, Log: p.file(".log")})
+		}
 		if strings.Contains(text, "invariant broken") || strings.Contains(text, "panic") || strings.Contains(text, "fatal error") {
 			violations = append(violations, Violation{Rule: "own check", Process: p.name(), Detail: text, Log: p.file(".log")})
 		}
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -247,12 +247,14 @@
 func throttleSome(ctx context.Context, r *run, rng *rand.Rand) {
 	for chosen := some(rng, r.processes, 3); ctx.Err() == nil; pause(ctx, 200*time.Millisecond) {
 		held := 50*time.Millisecond + time.Duration(rng.Int63n(int64(100*time.Millisecond)))
+		began := r.rec.Now()
 		for _, p := range chosen {
 			p.signal(syscall.SIGSTOP)
 		}
 		time.Sleep(held)
 		for _, p := range chosen {
 			p.signal(syscall.SIGCONT)
+			p.noteHeld(began, r.rec.Now())
 		}
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,10 +19,6 @@
 	Unsent             // never ran
 )
 
-var endings = [...]string{"completed", "errored", "turned-away", "timed-out", "unconnected", "broken", "called-off", "unsent"}
-
-func (e Ending) String() string { return endings[e] }
-
 // Dispatch is one try of a command at a brick.
 type Dispatch struct {
 	done   bool // completed
