--- a/internal/hostloop/core.go
+++ b/internal/hostloop/core.go
@@ -126,6 +126,9 @@
 	// Begun is called when a streamed answer begins; may be nil.
 	Begun func()
 
+	// ClientGone, where a front set it, looks whether the client has closed its connection, noticed or not. It is safe for
+	// concurrent use and does not wait.
+	ClientGone func() bool
 	// Deadline, on the loop's clock, is set by Take: the request's client waits no longer.
 	Deadline time.Duration
 
