Nothing begins for a client that has closed, noticed or not

Change: the guard of sending looks into the client's socket right before the write (one system call for each attempt).

--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -230,6 +230,7 @@
 		c.nc.SetReadDeadline(longAgo) // first: whoever has the answer sets the next deadline
 		c.answers <- a                // takes one without waiting
 	}
+	t.ClientGone = func() bool { return socket.Peek(c.nc) == socket.Ended }
 	if c.inbox.err != nil { // the client has gone, as is known from behind what it sent
 		f.ids.release(id, false)
 		c.gone, c.reason = true, observe.ClientClosed
--- a/internal/platform/pool/attempt.go
+++ b/internal/platform/pool/attempt.go
@@ -54,6 +54,9 @@
 // the attempt may still begin; begun is false if not a byte was written.
 func (c *conn) send(j *attempt) (begun, whole bool, err error) {
 	now := c.endpoint.pool.o.Loop.Now
+	if gone := j.task.ClientGone; gone != nil && gone() {
+		j.task.End(now())
+	}
 	decided := now()
 	if !c.begin(j, decided) {
 		return false, false, nil
