--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -227,6 +227,7 @@
 	reloads chan *conf.Config
 	config  *conf.Config
 	toBrick func(ctx context.Context, address string) (net.Conn, error)     // to bricks
+	faults  bool                                                            // faults of the program are expected in the log
 	listen  func(ctx context.Context, address string) (net.Listener, error) // for clients
 	stop    context.CancelFunc
 	done    chan error
@@ -263,7 +264,7 @@
 func (h *host) start() {
 	t := h.t
 	up := make(chan net.Addr, 1)
-	run := &Host{Config: h.config, Log: slog.New(slog.NewTextHandler(t.Output(), &slog.HandlerOptions{Level: slog.LevelError})), Up: func(a net.Addr) { up <- a }, Dial: h.toBrick, Listen: h.listen,
+	run := &Host{Config: h.config, Log: slog.New(slog.NewTextHandler(h.log(), &slog.HandlerOptions{Level: slog.LevelError})), Up: func(a net.Addr) { up <- a }, Dial: h.toBrick, Listen: h.listen,
 		Start: func(p policy.Host, s policy.Settings) hostloop.Decider { return &watched{policy.New(p, s), h.ended} }}
 	h.run = run
 	ctx, stop := context.WithCancel(context.Background())
@@ -287,6 +288,14 @@
 	})
 }
 
+// log is where errors of the host go.
+func (h *host) log() io.Writer {
+	if h.faults {
+		return io.Discard
+	}
+	return h.t.Output()
+}
+
 func (h *host) dial() net.Conn {
 	h.t.Helper()
 	c, err := net.Dial("tcp", h.address)
--- a/internal/platform/syscalls_test.go
+++ b/internal/platform/syscalls_test.go
@@ -121,3 +121,66 @@
 	time.Sleep(10 * ms)
 	return 0, os.NewSyscallError("read", b.number)
 }
+
+// panicking panics once, at a write.
+type panicking struct {
+	net.Conn
+	left *atomic.Int32
+}
+
+func (p *panicking) Write(b []byte) (int, error) {
+	if p.left.Add(-1) == 0 {
+		panic("on purpose")
+	}
+	return p.Conn.Write(b)
+}
+
+type panickingListener struct {
+	net.Listener
+	left *atomic.Int32
+}
+
+func (l *panickingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	return &panicking{nc, l.left}, err
+}
+
+// A fault of the program on one connection is answered there, once, and harms no other connection.
+func TestPanicOnConnection(t *testing.T) {
+	for _, side := range []string{"client", "server", "connect"} {
+		t.Run(side, func(t *testing.T) {
+			t.Parallel()
+			var dials, toServer, toClient atomic.Int32
+			h := aHost(t, newBrick(t, answers))
+			h.toBrick = func(ctx context.Context, address string) (net.Conn, error) {
+				if side == "connect" && dials.Add(1) == 1 {
+					panic("on purpose")
+				}
+				nc, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+				return &panicking{nc, &toServer}, err
+			}
+			h.listen = func(ctx context.Context, address string) (net.Listener, error) {
+				l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+				return &panickingListener{l, &toClient}, err
+			}
+			switch side {
+			case "client":
+				toClient.Store(1)
+			case "server":
+				toServer.Store(1)
+			}
+			h.faults = true
+			h.start()
+			wanted := map[string]int{"client": 500, "server": 504, "connect": 200}[side]
+			if status, _ := ask(h.dial(), write("a1", "x")); status != wanted {
+				t.Errorf("%d, wanted %d", status, wanted)
+			}
+			if status, _ := ask(h.dial(), write("a2", "x")); status != 200 {
+				t.Errorf("%d after a fault on another connection, wanted 200", status)
+			}
+			if open := h.run.pool.Counts().Open; open > 1 {
+				t.Errorf("%d connections to servers count as open, wanted 1 at most", open)
+			}
+		})
+	}
+}
