--- a/internal/platform/pool/conn.go
+++ b/internal/platform/pool/conn.go
@@ -63,6 +63,11 @@
 	p.o.Log.Error("panic on a connection to a server", "server", c.endpoint.brick, "cause", cause, "stack", string(debug.Stack()))
 	p.o.Observe.Count(observe.Attempt, observe.Panicked)
 	p.mu.Lock()
+	if c.nc == nil { // it never came up; whoever waits is given another
+		c.endpoint.dialing = slices.DeleteFunc(c.endpoint.dialing, func(x *conn) bool { return x == c })
+		p.counts.Open--
+		c.dead = true
+	}
 	var lost *attempt
 	for _, j := range c.endpoint.out {
 		if j.conn == c {
