Soak: processes listen on a loopback address of the run's own

Cause: one run of the whole suite on a clean clone failed (TestSoakFindsFaults/answer_given_twice: g-3 ended at its start, exit status 1): its port was found free, closed, and taken by another test's connection before it listened. Change: drills had an address of their own for each run; that is one package now and the soak uses it, holding all ports until all are found.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -31,6 +31,7 @@
 	"weirhaven/internal/standin/brick"
 	"weirhaven/internal/standin/client"
 	"weirhaven/internal/standin/lister"
+	"weirhaven/internal/standin/loopback"
 	"weirhaven/internal/wpb"
 )
 
@@ -154,9 +155,7 @@
 			return nil, err
 		}
 	}
-	// An address of the loopback range that no other run uses: ports stay this run's own while a host is away.
-	pid := os.Getpid()
-	r.ip = fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+runs.Add(1)%250)
+	r.ip = loopback.IP()
 	if err := r.run(ctx); err != nil {
 		return nil, err
 	}
@@ -166,8 +165,6 @@
 	return &Result{Header: h, Seen: seen, Verdict: audit.Judge(h, seen), Exits: r.exits, Planner: r.plan.went(), Objects: r.works.counts()}, nil
 }
 
-var runs atomic.Int64
-
 func (r *runner) run(ctx context.Context) (err error) {
 	defer func() {
 		r.killAll()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"weirhaven/internal/standin/agent"
+	"weirhaven/internal/standin/loopback"
 	"weirhaven/internal/wpb"
 )
 
@@ -82,19 +83,29 @@
 	return filepath.Join(p.r.folder, p.name()+kind)
 }
 
-func (r *run) startProcesses() error {
+// makeProcesses gives each process its address and its agent.
+func (r *run) makeProcesses() error {
+	ip := loopback.IP()
 	for i := range r.options.Processes {
-		address, err := freeAddress()
+		held, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return err
 		}
-		p := &process{r: r, number: i, address: address}
+		defer held.Close() // once all have their addresses
+		p := &process{r: r, number: i, address: held.Addr().String()}
 		p.known.told = map[string]int64{}
 		if p.agent, err = r.discovery.Listen(p.told); err != nil {
 			return err
 		}
 		r.processes = append(r.processes, p)
 	}
+	return nil
+}
+
+func (r *run) startProcesses() error {
+	if err := r.makeProcesses(); err != nil {
+		return err
+	}
 	errs := make([]error, len(r.processes))
 	var wg sync.WaitGroup
 	for i, p := range r.processes {
@@ -108,15 +119,6 @@
 	return errors.Join(errs...)
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // start starts the process and waits until it is ready.
 func (p *process) start() error {
 	known := p.r.discovery.Whole()
