Test: a planner's failed write is taken for not written, failing

Measured: after a write that landed and was told as failed, and wishes that were taken back, the disk holds a volume as gone that is kept, and one that was never given out.

--- a/internal/plan/decide/decide.go
+++ b/internal/plan/decide/decide.go
@@ -77,6 +77,7 @@
 	floor      uint64 // changes since before it can't be told any more
 	items      map[view.Key]*wpb.Item
 	wanted     map[view.Key]*wpb.Item // as it should be; written when the lease is held
+	unsure     map[view.Key]bool      // of a write that failed: the disk may hold these as they were before it or after
 	gone       []view.Key
 	edges      map[string]*edge
 	started    time.Duration
@@ -96,7 +97,7 @@
 // New takes what the disk gave; tenure nil: nothing. life is drawn anew at each start: two starts without a disk, or two planners
 // given one name, would else share a tenure.
 func New(name string, life uint64, tenure *wpb.Tenure, generation uint64, saved []*wpb.Item, r Rules, k Keeper, log func(string), now time.Duration) (*State, error) {
-	s := &State{rules: r, keep: k, log: log, generation: generation, floor: generation, items: map[view.Key]*wpb.Item{}, wanted: map[view.Key]*wpb.Item{},
+	s := &State{rules: r, keep: k, log: log, generation: generation, floor: generation, items: map[view.Key]*wpb.Item{}, wanted: map[view.Key]*wpb.Item{}, unsure: map[view.Key]bool{},
 		edges: map[string]*edge{}, started: now, beats: map[uint64]time.Duration{}, placed: map[uint32]int{}, took: 20 * time.Millisecond}
 	for _, x := range saved {
 		s.hold(x)
--- a/internal/plan/decide/decide_test.go
+++ b/internal/plan/decide/decide_test.go
@@ -23,6 +23,7 @@
 	generation uint64
 	items      map[view.Key]*wpb.Item
 	full       bool
+	landed     bool // writes reach the disk and are told as failed
 }
 
 func (d *disk) Keep(t *wpb.Tenure, g uint64, changed []*wpb.Item) error {
@@ -33,6 +34,9 @@
 	for _, x := range changed {
 		d.items[view.KeyOf(x)] = proto.Clone(x).(*wpb.Item)
 	}
+	if d.landed {
+		return errors.New("input/output error")
+	}
 	return nil
 }
 
@@ -470,3 +474,46 @@
 		t.Error(c, s.Phase())
 	}
 }
+
+// A write that is told as failed may have reached the disk. What it wrote and was then taken back does not come back with the
+// next start.
+func TestFailedWriteIsUnknown(t *testing.T) {
+	d := &disk{items: map[view.Key]*wpb.Item{}}
+	r := rules
+	r.Edges = 1
+	s, _ := New("a", 1, nil, 0, nil, r, d, func(string) {}, 0)
+	now := time.Duration(0)
+	s.Hello("e", "", s.Tenure(), s.Generation(), s.Digest(), false, false, now)
+	s.Report("e", nil, true, now)
+	for range 40 {
+		now += 100 * time.Millisecond
+		s.Ack("e", s.Tenure(), s.Generation(), s.Beat(now), now)
+	}
+	volume := func(name string, gone bool) *wpb.Item {
+		return &wpb.Item{Kind: wpb.Item_VOLUME, Name: name, Gone: gone, Volume: &wpb.PlanVolume{}}
+	}
+	s.Want(volume("kept", false))
+	if c, err := s.Write(now); len(c) != 1 || err != nil {
+		t.Fatal(c, err)
+	}
+	d.landed = true
+	s.Want(volume("kept", true))
+	s.Want(volume("new", false))
+	if _, err := s.Write(now); err == nil {
+		t.Fatal("wanted a failed write")
+	}
+	d.landed = false
+	s.Want(volume("kept", false))
+	s.Want(volume("new", true))
+	if _, err := s.Write(now); err != nil {
+		t.Fatal(err)
+	}
+	for name, gone := range map[string]bool{"kept": false, "new": true} {
+		if x := d.items[view.Key{Kind: wpb.Item_VOLUME, Name: name}]; x == nil || x.Gone != gone {
+			t.Errorf("%s on disk: %v", name, x)
+		}
+	}
+	if len(s.unsure) > 0 {
+		t.Errorf("%v unsure after a write that succeeded", s.unsure)
+	}
+}
