Soak: many clients think before they ask again

Cause: the whole suite under -race failed once: TestSoak, 2,709 of 11,818 requests completed, wanted a quarter; no violation. Clients of clients-many asked again at once when they were refused, so refusals were most of what was counted. Change: they wait up to 50 ms.

--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -76,7 +76,9 @@
 	mostLength  = 4 * time.Second
 	meanGap     = 600 * time.Millisecond // between the beginnings of two troubles
 	mostAtOnce  = 3
-	// slowest an agent answers.
+	// thinkTime is how long one of many clients waits at most before it asks again.
+	thinkTime = 50 * time.Millisecond
+	// slowAgent is how late an agent answers at most.
 	slowAgent = 3500 * time.Millisecond
 )
 
@@ -435,6 +437,7 @@
 					q := r.load.draw(p.number, own)
 					q.pieces, q.fresh, q.once = true, true, true
 					r.load.ask(q)
+					pause(ctx, time.Duration(own.Int63n(int64(thinkTime))))
 				}
 			}()
 		}
