--- a/internal/platform/eviction_test.go
+++ b/internal/platform/eviction_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand"
+	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -115,3 +117,32 @@
 		t.Errorf("the request of a connection that made room got %d", status)
 	}
 }
+
+// All connections hold requests: one more is answered 503 at once, nothing of it is sent, and the others are served.
+func TestConnectionLimit(t *testing.T) {
+	hold := make(chan bool)
+	b := newBrick(t, func(c net.Conn, n int) bool { <-hold; return answers(c, n) })
+	h := newHost(t, b)
+	var waiting []net.Conn
+	for i := range 22 {
+		c := h.dial()
+		say(c, read(fmt.Sprint("a", i)))
+		waiting = append(waiting, c)
+	}
+	time.Sleep(100 * ms) // all are read
+	began := time.Now()
+	if status, _ := ask(h.dial(), read("b")); status != 503 || time.Since(began) > 300*ms {
+		t.Errorf("%d after %v, wanted 503 at once", status, time.Since(began))
+	}
+	close(hold)
+	for i, c := range waiting {
+		if status, _ := hear(c); status == 0 {
+			t.Errorf("request %d got no answer", i)
+		}
+	}
+	for len(b.seen) > 0 {
+		if s := <-b.seen; strings.Contains(s, " b ") {
+			t.Errorf("%s reached the server", s)
+		}
+	}
+}
