--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -107,15 +107,7 @@
 		return err
 	}
 	errs := make([]error, len(r.processes))
-	var wg sync.WaitGroup
-	for i, p := range r.processes {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			errs[i] = p.start()
-		}()
-	}
-	wg.Wait()
+	together(r.processes, func(p *process) { errs[p.number] = p.start() })
 	return errors.Join(errs...)
 }
 
@@ -326,18 +318,12 @@
 }
 
 func (r *run) stopProcesses() {
-	var wg sync.WaitGroup
-	for _, p := range r.processes {
+	together(r.processes, func(p *process) {
 		if p.crashed() {
 			r.violated(Violation{Rule: "crash", Process: p.name(), At: r.rec.Now(), Detail: fmt.Sprintf("ended by itself: %v", p.exit), Log: p.file(".log")})
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			p.stop()
-		}()
-	}
-	wg.Wait()
+		p.stop()
+	})
 }
 
 // mostGoroutines bounds those of a process: two for each descriptor, and what it needs besides.
