An attempt tells its endpoint what is left right before the write

Callers: an endpoint was told 154 to 657 ms more than its client had left (TestEvictionBetweenRequests at load 32): it worked for nobody. Cause: send read the clock, encoded the message, read it again and wrote; a hold-up between them was written out. Change: encode, then let the guard read state and clock; over 5 ms between them, both are done anew. Why it works: nothing but the write is left behind the last look at the clock. Soak: "written late, own check" held the process up in SetDeadline, which the guard now sees and survives; the same hold sits in a hook between the last look and the write, and the same check finds it (passes).

--- a/internal/httpgateway/gateway.go
+++ b/internal/httpgateway/gateway.go
@@ -30,6 +30,9 @@
 	Dial   func(ctx context.Context, address string) (net.Conn, error)     // to endpoints; nil: TCP
 	Listen func(ctx context.Context, address string) (net.Listener, error) // for clients; nil: TCP
 
+	// BeforeAttemptWrite, for tests, is called right before each write of an attempt; nil: not called.
+	BeforeAttemptWrite func()
+
 	loop     *engine.Loop
 	pool     *upstream.Pool
 	recorder *metrics.Recorder
@@ -100,7 +103,7 @@
 	}
 	return upstream.New(upstream.Options{Loop: g.loop, MaxConnections: shares.upstreamConnections, ConnectTimeout: connectTimeout,
 		IdleTimeout: g.Config.EndpointIdleTimeout / 2, Log: g.Log, Recorder: g.recorder, Dial: g.Dial,
-		ResponseMemory: shares.responseMemory})
+		BeforeWrite: g.BeforeAttemptWrite, ResponseMemory: shares.responseMemory})
 }
 
 // newCore makes the engine, which knows the endpoints that stand in the configuration. The start times are used in the
--- a/internal/httpgateway/upstream/pool.go
+++ b/internal/httpgateway/upstream/pool.go
@@ -41,6 +41,7 @@
 	ConnectTimeout time.Duration                                               // how long an attempt waits for its connection
 	IdleTimeout    time.Duration                                               // after which a connection without an attempt is closed; the pool may learn a shorter one
 	Dial           func(ctx context.Context, address string) (net.Conn, error) // nil: TCP
+	BeforeWrite    func()                                                      // for tests: called between the last look at the clock and the write of an attempt; may be nil
 	Log            *slog.Logger
 	Recorder       *metrics.Recorder // nil: one of its own
 }
--- a/internal/httpgateway/upstream/send.go
+++ b/internal/httpgateway/upstream/send.go
@@ -10,6 +10,9 @@
 const (
 	// schedulingSlack is how long this process may be suspended between reading its clock and writing; the checks allow for it.
 	schedulingSlack = 150 * time.Millisecond
+	// maxEncodingAge is the longest time between encoding an attempt's remaining time and its write; the field counts in
+	// milliseconds.
+	maxEncodingAge = 5 * time.Millisecond
 	// maxSendAfterEnd is the longest time after its client left, or was answered, within which an attempt may begin.
 	maxSendAfterEnd = 100 * time.Millisecond
 	// writeOverrun is how long past its deadline an attempt's connection may still be in use; the engine cancels it before.
@@ -18,40 +21,47 @@
 
 // send is the one place where bytes of an attempt leave. An attempt may have waited for its connection while its client
 // left, its request was answered, its deadline passed or its endpoint began to drain; were it sent then, the endpoint would
-// do work that nobody waits for, or run a write that was reported as not run. The guard holds since it reads the state and
-// the clock right before the write, under the lock under which attempts are given up.
+// do work that nobody waits for, or run a write that was reported as not run. The guard holds since it reads the state, under
+// the lock under which attempts are given up, and the clock right before the write. Where this process was suspended between
+// the two, or after the remaining time was encoded, both are done anew.
 //
 // started is false if not a byte was written; complete is true if all were.
 func (c *conn) send(a *attempt) (started, complete bool, err error) {
 	now := c.endpoint.pool.options.Loop.Now
-	if clientClosed := a.request.ClientClosed; clientClosed != nil && clientClosed() {
-		a.request.End(now())
-	}
-	decidedAt := now()
-	if !c.start(a, decidedAt) {
-		return false, false, nil
+	for {
+		encodedAt := now()
+		remaining := a.deadline - encodedAt
+		message := a.encode(remaining)
+		_ = c.nc.SetDeadline(time.Now().Add(remaining + writeOverrun)) // a broken connection fails the write
+		if !c.start(a) {
+			return false, false, nil
+		}
+		startedAt := now()
+		if startedAt-encodedAt > maxEncodingAge {
+			continue
+		}
+		if beforeWrite := c.endpoint.pool.options.BeforeWrite; beforeWrite != nil {
+			beforeWrite()
+			startedAt = now()
+		}
+		n, err := c.nc.Write(message)
+		c.checkSend(a, remaining, startedAt)
+		return true, n >= len(message), err
 	}
-	_ = c.nc.SetDeadline(time.Now().Add(a.deadline - decidedAt + writeOverrun)) // a broken connection fails the write
-	remaining := a.deadline - now()
-	message := a.encode(remaining)
-	startedAt := now()
-	n, err := c.nc.Write(message)
-	c.checkSend(a, remaining, startedAt)
-	return true, n >= len(message), err
 }
 
 // start decides whether an attempt may be sent now, and marks it as started if so.
-func (c *conn) start(a *attempt, now time.Duration) bool {
+func (c *conn) start(a *attempt) bool {
 	p := c.endpoint.pool
+	if clientClosed := a.request.ClientClosed; clientClosed != nil && clientClosed() {
+		a.request.End(p.options.Loop.Now())
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.options.Loop.Now()
 	_, ended := a.request.EndedAt()
-	switch {
-	case c.endpoint.inFlight[a.id] != a, c.closed: // canceled
-	case ended, now >= a.deadline, a.startBy != 0 && now >= a.startBy:
-	default:
-		a.started = true
-	}
+	canceled := c.endpoint.inFlight[a.id] != a || c.closed
+	a.started = !canceled && !ended && now < a.deadline && (a.startBy == 0 || now < a.startBy)
 	return a.started
 }
 
--- a/internal/httpgateway/upstream/send_test.go
+++ b/internal/httpgateway/upstream/send_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"weirhaven/internal/clock"
 	"weirhaven/internal/engine"
+	"weirhaven/internal/http1"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -85,3 +88,79 @@
 		})
 	}
 }
+
+// suspendedLoop is a loop whose process is suspended once, right before the reading of its clock with that number. Readings
+// count from arm on.
+type suspendedLoop struct {
+	reportingLoop
+	beforeReading int
+	suspension    time.Duration
+
+	mu       sync.Mutex
+	armed    bool
+	readings int
+}
+
+func (s *suspendedLoop) arm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = true
+}
+
+func (s *suspendedLoop) Now() time.Duration {
+	s.mu.Lock()
+	if s.armed {
+		s.readings++
+	}
+	s.mu.Unlock()
+	return s.real()
+}
+
+// real is the time, without a reading that counts.
+func (s *suspendedLoop) real() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	if s.readings >= s.beforeReading {
+		now += s.suspension
+	}
+	return now
+}
+
+// The process is suspended while it sends an attempt, between any two readings of its clock. The endpoint is told no more time
+// than the client has left: it would work for nobody.
+func TestSuspendedWhileSending(t *testing.T) {
+	for beforeReading := 1; beforeReading <= 6; beforeReading++ {
+		t.Run(fmt.Sprint("before reading ", beforeReading), func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			loop := &suspendedLoop{reportingLoop: reportingLoop{clock.New(), make(chan bool, 1)}, beforeReading: beforeReading, suspension: 400 * time.Millisecond}
+			p := New(Options{Loop: loop, MaxConnections: 4, ConnectTimeout: 2 * time.Second, IdleTimeout: time.Second, Log: slog.New(slog.DiscardHandler),
+				Dial: func(ctx context.Context, address string) (net.Conn, error) {
+					nc, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+					loop.arm()
+					return nc, err
+				}})
+			deadline := loop.real() + 5*time.Second
+			p.Connect("s", l.Addr().String()).Send(1, &engine.Request{Header: []byte("GET / HTTP/1.1\r\nHost: x\r\n"), Deadline: deadline}, 0, 5*time.Second, 0)
+			nc, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			head, err := http1.NewReader(nc).Request()
+			if err != nil {
+				t.Fatal(err)
+			}
+			toldMs, _ := http1.ParseDigits(head.Get("X-Remaining-Ms"))
+			if excess := time.Duration(toldMs)*time.Millisecond - (deadline - loop.real()); excess > schedulingSlack {
+				t.Errorf("the endpoint was told %v more than is left", excess)
+			}
+			nc.Close()
+			<-loop.reported
+			p.Close()
+		})
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,6 +40,7 @@
 				return fault.toServer(nc, address), nil
 			}
 		}
+		h.BeforeAttemptWrite = fault.beforeWrite
 		if fault.toClient != nil {
 			h.Listen = func(ctx context.Context, address string) (net.Listener, error) {
 				l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
@@ -59,13 +60,14 @@
 
 // fault is one guard broken on purpose, and what the judge must find.
 type fault struct {
-	wanted   string // in the rule or detail of a violation
-	menu     []string
-	rate     float64
-	toServer func(nc net.Conn, address string) net.Conn
-	toClient func(nc net.Conn) net.Conn
-	decider  func(policy.Runtime, policy.Settings) engine.Scheduler
-	process  func()
+	wanted      string // in the rule or detail of a violation
+	menu        []string
+	rate        float64
+	toServer    func(nc net.Conn, address string) net.Conn
+	toClient    func(nc net.Conn) net.Conn
+	beforeWrite func()
+	decider     func(policy.Runtime, policy.Settings) engine.Scheduler
+	process     func()
 }
 
 var faults = map[string]fault{
@@ -73,8 +75,7 @@
 	"answer given twice": {wanted: "another request's answer", menu: []string{"clients-slow"}, toClient: func(nc net.Conn) net.Conn { return &repeating{nc} }},
 	"written late": {wanted: "deadline told", menu: []string{"clients-leave"},
 		toServer: func(nc net.Conn, _ string) net.Conn { return &slow{nc} }},
-	"written late, own check": {wanted: "invariant broken", menu: []string{"clients-leave"},
-		toServer: func(nc net.Conn, _ string) net.Conn { return &slowDeadline{nc} }},
+	"written late, own check": {wanted: "invariant broken", menu: []string{"clients-leave"}, beforeWrite: holdUpOneIn},
 	"sent twice at once": {wanted: "no effect twice", menu: []string{"server-hangs"},
 		toServer: func(nc net.Conn, address string) net.Conn { return &doubling{nc, address} }},
 	"drains ignored": {wanted: "drains kept", menu: []string{"drain"},
@@ -131,14 +132,11 @@
 	return s.Conn.Write(b)
 }
 
-// slowDeadline holds the process's own guard up between its clock and its write.
-type slowDeadline struct{ net.Conn }
-
-func (s *slowDeadline) SetDeadline(t time.Time) error {
+// holdUpOneIn holds the process up between its last look at the clock and its write.
+func holdUpOneIn() {
 	if rand.Intn(oneIn) == 0 {
 		time.Sleep(1200 * time.Millisecond)
 	}
-	return s.Conn.SetDeadline(t)
 }
 
 type doubling struct {
