Object API: the time a client may stand still ends with its body

Callers: a PUT whose storing took longer than StallTimeout was answered 500 "The client went away.", a chunked one 400. Cause: the last read's deadline stayed armed; net/http's background read met it and canceled the request. Change: the deadline is cleared where the body ends.

--- a/internal/object/api/faults_test.go
+++ b/internal/object/api/faults_test.go
@@ -212,3 +212,32 @@
 		t.Error(err, a)
 	}
 }
+
+// Storing a body takes longer than a client may stand still. The client, which waits, gets its answer: the time for which it may
+// stand still is over once its body is whole.
+func TestSlowStorage(t *testing.T) {
+	const stallTimeout = 200 * time.Millisecond
+	server := startServer(t)
+	httpServer := httptest.NewServer(Handler(Config{Gate: server.gate, MaxRequests: 1, StallTimeout: stallTimeout,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil))}))
+	defer httpServer.Close()
+	server.engine.setFailure(func(*engine.Request) *engine.Response {
+		time.Sleep(3 * stallTimeout)
+		return nil
+	})
+	for name, body := range map[string]io.Reader{"of known length": bytes.NewReader(randomBytes(900, 1)), "chunked": io.MultiReader(bytes.NewReader(randomBytes(900, 2)))} {
+		request, err := http.NewRequest("PUT", httpServer.URL+"/yard/a", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("a body %s: %d %s", name, response.StatusCode, text)
+		}
+	}
+}
--- a/internal/object/api/handler.go
+++ b/internal/object/api/handler.go
@@ -6,6 +6,7 @@
 package api
 
 import (
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -183,10 +184,15 @@
 	return &stallGuard{ResponseWriter: response, body: body, control: http.NewResponseController(response), timeout: timeout}
 }
 
-// Read reads from the request's body. It implements io.Reader.
+// Read reads from the request's body. It implements io.Reader. The deadline ends with the body: the HTTP server reads on from there
+// to notice a client that leaves, and would take a deadline that passes while the bytes are stored for that.
 func (g *stallGuard) Read(buffer []byte) (int, error) {
 	_ = g.control.SetReadDeadline(time.Now().Add(g.timeout)) // without support for deadlines there is no guard
-	return g.body.Read(buffer)
+	n, err := g.body.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		_ = g.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
 }
 
 // Write writes to the response's body. It implements io.Writer.
