Each request that is given up says by which rule, and what held it back

Cause: a 503 carried no reason, nor did log or metrics: the hypotheses on 503 beside an idle endpoint could not be told apart. Change: Request.GiveUp (policy/giveup.go) holds the rule and the hold at the endpoint that came nearest to taking the request; counters weirhaven_requests_given_up_total and ..._held_back_total, and a debug line. Nothing is decided by it; the golden digests are unchanged. Measured: golden test passes; TestPipelined under stops of 50 to 400 ms shows "deadline-passed, in-flight" for each of its 503.

--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -61,6 +61,7 @@
 	RetryAfter time.Duration // only of Rejected: when the client should retry; 0: no advice
 	MayHaveRun bool          // only of Failed: an endpoint may have run the request, or may run it still
 	Reason     string        // only of Failed, for the client to read; empty if the scheduler decided it
+	GiveUp     policy.GiveUp // why the scheduler gave the request up; empty if it did not
 }
 
 // Result is how a request ended for its client.
--- a/internal/engine/runtime.go
+++ b/internal/engine/runtime.go
@@ -55,6 +55,7 @@
 func (r *schedulerRuntime) respond(request *policy.Request, response Response) {
 	c := r.core()
 	if open := c.requests[request.ID]; open != nil {
+		response.GiveUp = request.GiveUp()
 		c.respond(open, response)
 		c.releaseIfDone(open)
 	}
--- a/internal/httpgateway/downstream/respond.go
+++ b/internal/httpgateway/downstream/respond.go
@@ -8,11 +8,13 @@
 	"weirhaven/internal/engine"
 	"weirhaven/internal/http1"
 	"weirhaven/internal/httpgateway/metrics"
+	"weirhaven/policy"
 )
 
 // writeResponse maps the engine's result to a status and writes it; it reports whether the connection goes on.
 func (c *conn) writeResponse(response engine.Response) bool {
 	c.server.options.Recorder.Count(metrics.Responded, metrics.Reason(response.Result.String()))
+	c.recordGiveUp(response.GiveUp)
 	switch response.Result {
 	case engine.Served:
 		return c.respond(200, "", response.Body)
@@ -34,6 +36,17 @@
 	return false
 }
 
+// recordGiveUp counts and logs why the scheduler gave the request up, if it did.
+func (c *conn) recordGiveUp(giveUp policy.GiveUp) {
+	if giveUp == (policy.GiveUp{}) {
+		return
+	}
+	recorder := c.server.options.Recorder
+	recorder.Count(metrics.GivenUp, metrics.Reason(giveUp.Cause))
+	recorder.Count(metrics.HeldBack, metrics.Reason(giveUp.Hold))
+	c.server.options.Log.Debug("request given up", "request", c.pendingID, "cause", string(giveUp.Cause), "held_by", string(giveUp.Hold))
+}
+
 // statusTexts are the reason phrases of all statuses that are written.
 var statusTexts = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
 	409: "Conflict", 411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large",
--- a/internal/httpgateway/metrics/names.go
+++ b/internal/httpgateway/metrics/names.go
@@ -54,11 +54,13 @@
 // The kinds of counters.
 const (
 	Closed    Kind = "client_connections_closed"
-	Shed      Kind = "requests_shed"   // answered 503 before the scheduler saw them
-	Responded Kind = "responses"       // by the engine's result
-	Attempt   Kind = "attempts"        // by outcome
-	Redial    Kind = "redials"         // to endpoints, after a failure on this machine, by the failure
-	Accept    Kind = "accept_failures" // by the failure
+	Shed      Kind = "requests_shed"               // answered 503 before the scheduler saw them
+	Responded Kind = "responses"                   // by the engine's result
+	GivenUp   Kind = "requests_given_up"           // by the scheduler's rule that ended them
+	HeldBack  Kind = "requests_given_up_held_back" // the same requests, by what kept them from being sent
+	Attempt   Kind = "attempts"                    // by outcome
+	Redial    Kind = "redials"                     // to endpoints, after a failure on this machine, by the failure
+	Accept    Kind = "accept_failures"             // by the failure
 )
 
 // ErrnoReason is the reason for a failed system call; 0 is a failure that has no number.
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -15,18 +15,19 @@
 	objective := max(r.latencyObjectiveAt-now, s.congestionThreshold)
 	s.runtime.After(min(objective, (r.deadline-now)/2)-s.timerMargin, func() {
 		if !r.over && len(r.attempts) == 0 {
-			s.giveUp(r)
+			s.giveUp(r, NotSentInTime)
 		}
 	})
 	s.runtime.After(r.deadline-s.timerMargin-now, func() {
 		if !r.over && !r.streaming {
-			s.giveUp(r)
+			s.giveUp(r, DeadlinePassed)
 		}
 	})
 }
 
 // giveUp ends a request without the answer that it asked for.
-func (s *Scheduler) giveUp(r *Request) {
+func (s *Scheduler) giveUp(r *Request, cause GiveUpCause) {
+	r.giveUp = GiveUp{cause, s.holdOf(r, s.runtime.Now())}
 	s.rememberGivenUp(r)
 	canReject := r.canReject()
 	s.finish(r)
@@ -59,7 +60,7 @@
 		congested := latency > s.congestionThreshold
 		missesObjective := now+min(latency, r.class.LatencyObjective/2) > r.latencyObjectiveAt
 		if tooLate || congested && missesObjective {
-			s.giveUp(r)
+			s.giveUp(r, CannotBeInTime)
 		}
 	}
 }
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -188,7 +188,7 @@
 		s.finish(r)
 	case r.inFlight > 0:
 	case s.retryHopeless(r, now):
-		s.giveUp(r)
+		s.giveUp(r, NoRetryPossible)
 	default:
 		s.enqueue(r)
 	}
--- a/policy/request.go
+++ b/policy/request.go
@@ -31,6 +31,7 @@
 	streaming          bool // the answer has begun to reach the client
 	charged            bool // the volume's limit has paid for it
 	over               bool
+	giveUp             GiveUp
 }
 
 // RequestArrival describes a request as it reached this gateway.
