Time in which the process did not run counts against no endpoint

Callers: 503 though the only endpoint was idle and well (TestLargeResponses, TestRestAfterResponse). Cause: a suspension was taken for the endpoint's latency; limit, pace and the forecast of lateness followed it. Why it works: the interval says nothing of the endpoint.

--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -94,6 +94,7 @@
 // AttemptEnded takes an attempt's outcome: it is accounted, fed into latency, pace and outlier detection, and the request goes on.
 func (s *Scheduler) AttemptEnded(attempt *Attempt, result AttemptResult) {
 	now, r, e := s.runtime.Now(), attempt.Request, attempt.Endpoint
+	result.Duration = s.suspensions.running(attempt.sentAt, attempt.sentAt+result.Duration)
 	s.account(attempt, result.Outcome, now)
 	s.observe(attempt, result, now)
 	if result.Outcome == Served || result.Outcome == ErrorResponse {
--- a/policy/concurrency.go
+++ b/policy/concurrency.go
@@ -79,7 +79,7 @@
 // gateways share them, and open the send interval elsewhere.
 func (s *Scheduler) sampleInFlight(e *Endpoint, now time.Duration) {
 	for _, attempt := range e.attempts {
-		age := now - attempt.sentAt
+		age := s.suspensions.running(attempt.sentAt, now)
 		if age <= s.congestionThreshold || attempt.presumedLost && !s.sharedHealthChecks {
 			continue
 		}
--- a/policy/giveup.go
+++ b/policy/giveup.go
@@ -38,7 +38,7 @@
 	RateLimit        Hold = "rate-limit"        // the volume's is used
 	UnsafeNow        Hold = "unsafe-now"        // an attempt might have a wrong effect, or overtake another request
 	RetryLimit       Hold = "retry-limit"       // attempts or retry budget are used, or the endpoint has just failed
-	Pace             Hold = "pace"              // the interval since the last attempt is too short
+	Pace             Hold = "pace"              // the interval since the last attempt is too short, or only what can be in time may go
 	InFlight         Hold = "in-flight"         // nothing: it was sent and has no answer yet
 	NotHeld          Hold = "none"              // nothing
 )
@@ -70,6 +70,7 @@
 
 // holdAt tells what keeps a request from being sent to one endpoint now.
 func (s *Scheduler) holdAt(r *Request, e *Endpoint, now time.Duration) Hold {
+	_, urgency := s.rank(r, e, now)
 	switch {
 	case !e.accepting:
 		return NotAccepting
@@ -85,7 +86,7 @@
 		return UnsafeNow
 	case !s.retryAllowed(r, e, now):
 		return RetryLimit
-	case now-e.lastSentAt < e.minSendInterval:
+	case !e.paceAllows(now-e.lastSentAt, candidate{urgency: urgency}):
 		return Pace
 	}
 	return NotHeld
--- a/policy/healthcheck.go
+++ b/policy/healthcheck.go
@@ -21,8 +21,10 @@
 func (s *Scheduler) HealthChecked(e *Endpoint, outcome Outcome, duration time.Duration) {
 	now := s.runtime.Now()
 	e.checkInFlight = false
-	quick := outcome == Served && duration <= quickAnswer*s.congestionThreshold
-	late := outcome == TimedOut || outcome == Served && duration > s.shortestObjective
+	running := s.suspensions.running(e.checkSentAt, e.checkSentAt+duration)
+	timedOut := outcome == TimedOut && running == duration
+	quick := outcome == Served && running <= quickAnswer*s.congestionThreshold
+	late := timedOut || outcome == Served && running > s.shortestObjective
 	switch {
 	case quick:
 		e.consecutiveFailures = 0
--- a/policy/lostanswer.go
+++ b/policy/lostanswer.go
@@ -20,7 +20,7 @@
 func (s *Scheduler) overdue(attempt *Attempt, asOf time.Duration) bool {
 	r := attempt.Request
 	work := time.Duration(overdueWork * r.class.workPerUnit * r.units * float64(time.Second))
-	return asOf-attempt.sentAt > overdueThresholds*s.congestionThreshold+work
+	return s.suspensions.running(attempt.sentAt, asOf) > overdueThresholds*s.congestionThreshold+work
 }
 
 // presumeLost finds attempts that were overdue at an endpoint when something was sent there that was answered quickly.
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -35,6 +35,7 @@
 	sharedHealthChecks  bool          // health checks and gossip are allowed: one gateway checks an outlier for all
 	slowStart           slowStartBudget
 	retryBudget         retryBudget
+	suspensions         suspensionLog
 
 	classes      map[string]*class
 	plans        map[string]*ServicePlan
@@ -92,6 +93,7 @@
 		s.shortestObjective = min(s.shortestObjective, c.LatencyObjective)
 	}
 	s.congestionThreshold = max(time.Duration(float64(s.shortestObjective)*congestionShare), minCongestionThreshold)
+	s.suspensions.tolerance = max(time.Duration(float64(s.congestionThreshold)*suspendedShare), 2*s.timerMargin)
 	for _, c := range s.classes {
 		c.costPerUnit = s.congestionThreshold.Seconds() / s.settings.TypicalUnits
 		c.workPerUnit = s.congestionThreshold.Seconds() / s.settings.TypicalUnits / 2
@@ -111,7 +113,7 @@
 		s.runtime.After(jitter, s.runtime.RequestEndpointList)
 	}
 	s.runtime.After(demandPeriod, s.runDemandPeriod)
-	s.runtime.After(s.congestionThreshold/sweepsPerThreshold, s.sweep)
+	s.scheduleSweep(s.runtime.Now())
 }
 
 // SetGateways says how many gateways serve, this one included, and over how many the slow-start budgets of endpoints are split:
@@ -142,6 +144,7 @@
 // answered in time any more, and queues that waited for a pace, a rate limit or slow start are served.
 func (s *Scheduler) sweep() {
 	now := s.runtime.Now()
+	s.suspensions.sweepStarted(now)
 	for _, e := range s.endpoints {
 		if now-e.limitMovedAt >= limitPeriods*s.congestionThreshold {
 			s.moveLimit(e, now)
@@ -156,7 +159,13 @@
 			s.serveQueue(queue)
 		}
 	}
-	s.runtime.After(s.congestionThreshold/sweepsPerThreshold, s.sweep)
+	s.scheduleSweep(now)
+}
+
+func (s *Scheduler) scheduleSweep(now time.Duration) {
+	period := s.congestionThreshold / sweepsPerThreshold
+	s.suspensions.sweepDueAt = now + period
+	s.runtime.After(period, s.sweep)
 }
 
 func (s *Scheduler) log(format string, args ...any) { s.runtime.Log(fmt.Sprintf(format, args...)) }
