Soak: clients go on until the kill, signals in series, shutdowns beside a crowd

Change: faults signals-in-series (SIGHUP SIGHUP SIGTERM; SIGTERM twice; SIGTERM during a reload; SIGHUP during shutdown; SIGTERM before ready) and stop-crowded; clients open connections only to ready processes and until 0.4 s after SIGTERM, and use the open ones until the kill; rule "lost while stopping" judges their requests; one fault at a time restarts a process.

--- a/internal/soak/connection.go
+++ b/internal/soak/connection.go
@@ -21,6 +21,9 @@
 // maxResponseBody is the longest body that a client reads, in bytes.
 const maxResponseBody = 1 << 20
 
+// errOutOfService says that the platform sends no new clients to a process.
+var errOutOfService = errors.New("the process is out of service")
+
 // connection leads from a client to a process.
 type connection struct {
 	conn   net.Conn
@@ -40,6 +43,9 @@
 		pool.idle = pool.idle[:n-1]
 		return c, nil
 	}
+	if !l.run.processes[process].takesNewClients() {
+		return nil, errOutOfService
+	}
 	incarnation := l.run.processes[process].incarnation.Load()
 	nc, err := net.DialTimeout("tcp", l.run.processes[process].address, 250*time.Millisecond)
 	if err != nil {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -46,6 +46,8 @@
 	{"quiet-then-burst", pauseThenBurst},
 	{"clients-many", floodWithClients},
 	{"crowd", holdIdleConnections},
+	{"signals-in-series", signalSeries},
+	{"stop-crowded", stopCrowded},
 }
 
 // Names returns the names of all faults, as Options.Faults takes them.
--- a/internal/soak/fault_process.go
+++ b/internal/soak/fault_process.go
@@ -15,19 +15,27 @@
 	}
 }
 
+// restartAfter ends a process and starts it again, unless another fault does so just now: two processes would want one address.
+func (r *run) restartAfter(p *process, end func()) {
+	if !p.restarting.TryLock() {
+		return
+	}
+	defer p.restarting.Unlock()
+	end()
+	r.restart(p)
+}
+
 // stopProcesses shuts processes down gracefully and starts them again.
 func stopProcesses(_ context.Context, r *run, rng *rand.Rand) {
 	forEachConcurrently(pickSome(rng, r.processes, 5), func(p *process) {
-		p.stop()
-		r.restart(p)
+		r.restartAfter(p, p.stop)
 	})
 }
 
 // killProcesses kills processes and starts them again.
 func killProcesses(_ context.Context, r *run, rng *rand.Rand) {
 	forEachConcurrently(pickSome(rng, r.processes, 4), func(p *process) {
-		p.kill()
-		r.restart(p)
+		r.restartAfter(p, p.kill)
 	})
 }
 
@@ -45,15 +53,16 @@
 // reloadWhileStopping reloads processes during their graceful shutdown.
 func reloadWhileStopping(_ context.Context, r *run, rng *rand.Rand) {
 	forEachConcurrently(pickSome(rng, r.processes, 6), func(p *process) {
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			time.Sleep(50 * time.Millisecond)
-			_ = p.reload() // the process may already have ended
-		}()
-		p.stop()
-		<-done
-		r.restart(p)
+		r.restartAfter(p, func() {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				time.Sleep(50 * time.Millisecond)
+				_ = p.reload() // the process may already have ended
+			}()
+			p.stop()
+			<-done
+		})
 	})
 }
 
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -35,6 +35,7 @@
 		}
 	}
 	r.judgeDeadlines(observations)
+	r.judgeShutdowns(observations)
 	for _, p := range r.processes {
 		r.violations = append(r.violations, p.scanLog()...)
 	}
@@ -79,3 +80,37 @@
 		violated("sent in time", "an attempt reached %s %v after its client had left", reached.Brick, reachedAt-abandonedAt)
 	}
 }
+
+// judgeShutdowns checks requests that came after their process was told to stop: until it is killed it owes each of them an
+// answer. The audit excuses them, since gateways of the line protocol may take nothing new then.
+func (r *run) judgeShutdowns(seen []*pb.Seen) {
+	type life struct {
+		process     uint32
+		incarnation uint32
+	}
+	asked, told, killed := map[uint64]*pb.Seen{}, map[life]time.Duration{}, map[life]bool{}
+	for _, s := range seen {
+		switch s.What {
+		case pb.Seen_ASKED:
+			asked[s.Command] = s
+		case pb.Seen_HOST_DOWN:
+			if s.How == "stopping" {
+				told[life{s.Host, s.Incarnation}] = time.Duration(s.At)
+			} else {
+				killed[life{s.Host, s.Incarnation}] = true
+			}
+		case pb.Seen_UNANSWERED:
+			q := asked[s.Command]
+			if q == nil || s.How != "host" || killed[life{q.Host, q.Incarnation}] {
+				continue
+			}
+			toldAt, stopping := told[life{q.Host, q.Incarnation}]
+			if !stopping || time.Duration(q.At) < toldAt-observationDelay {
+				continue
+			}
+			p := r.processes[q.Host]
+			r.report(Violation{Rule: "lost while stopping", Request: q.Command, Process: p.name(), At: time.Duration(s.At),
+				Detail: fmt.Sprintf("sent %v after SIGTERM, no answer %v after it", time.Duration(q.At)-toldAt, time.Duration(s.At)-toldAt), Log: p.path(".log")})
+		}
+	}
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -25,6 +25,10 @@
 	address     string
 	incarnation atomic.Uint32
 	serving     atomic.Bool
+	// stoppingSince is when the process was told to stop, in ns of the run; 0: it was not.
+	stoppingSince atomic.Int64
+
+	restarting sync.Mutex // held by the fault that ends the process and starts it again
 
 	mu           sync.Mutex
 	agent        *agent.Agent
@@ -119,6 +123,7 @@
 		return fmt.Errorf("start %s: %w", p.name(), err)
 	}
 	p.incarnation.Add(1)
+	p.stoppingSince.Store(0)
 	exited := make(chan struct{})
 	p.cmd, p.exited, p.stoppedByRun = cmd, exited, false
 	go func() {
--- a/internal/soak/process_control.go
+++ b/internal/soak/process_control.go
@@ -66,22 +66,38 @@
 
 // stop sends SIGTERM, and SIGKILL after the longest deadline and killGrace.
 func (p *process) stop() {
+	p.stopBy(func() { p.signal(syscall.SIGTERM) })
+}
+
+// stopBy stops the process by the signals that send sends, the last of them SIGTERM or after it, and by SIGKILL after the longest
+// deadline and killGrace.
+func (p *process) stopBy(send func()) {
 	if !p.recordEnd("stopping") {
 		return
 	}
-	p.signal(syscall.SIGTERM)
+	p.stoppingSince.Store(int64(p.run.recorder.Now()))
+	kill := time.NewTimer(requestTimeout + killGrace)
+	defer kill.Stop()
+	send()
 	select {
 	case <-p.exited:
 		if p.exit != nil {
 			p.run.report(Violation{Rule: "crash", Process: p.name(), At: p.run.recorder.Now(), Detail: "told to stop: " + p.exit.Error(), Log: p.path(".log")})
 		}
-	case <-time.After(requestTimeout + killGrace):
+	case <-kill.C:
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 	}
 	p.serving.Store(false)
 }
 
+// takesNewClients reports whether clients open connections to the process: the platform puts one to use once it is ready, and
+// takes one that stops out of service within newClientsAfterStop.
+func (p *process) takesNewClients() bool {
+	since := time.Duration(p.stoppingSince.Load())
+	return p.serving.Load() && (since == 0 || p.run.recorder.Now()-since <= newClientsAfterStop)
+}
+
 // crashed reports whether the process ended by itself.
 func (p *process) crashed() bool {
 	p.mu.Lock()
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -28,6 +28,8 @@
 	sockets           = 96                     // connections that a process may hold
 	memoryMB          = 64                     // that a process may use, in MiB
 	killGrace         = 700 * time.Millisecond // after the longest deadline, before SIGKILL
+	// newClientsAfterStop is how long after SIGTERM clients still open connections.
+	newClientsAfterStop = 400 * time.Millisecond
 )
 
 var nodeKind = &pb.BrickKind{Name: "usual", UnitWork: unitWork.String(), Vary: 0.3, Queue: 200, ColdFrom: slowStartFraction, ColdFor: slowStartDuration.String(),
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -207,6 +207,18 @@
 	}
 }
 
+// Processes are told to stop by signals in series and beside a crowd of idle clients, while clients go on using their connections
+// until the kill: no request is lost.
+func TestSoakShutdowns(t *testing.T) {
+	report := play(t, Options{Seed: 2, Processes: 8, Length: 20 * time.Second, Faults: []string{"stop", "reload-while-stopping", "signals-in-series", "stop-crowded"}}, "")
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	if report.Completed < report.Requests/4 || report.Faults < 5 {
+		t.Errorf("%v; %d completed", report, report.Completed)
+	}
+}
+
 // Whoever reads the logs stalls, or ends: the processes serve on.
 func TestLogReaderFails(t *testing.T) {
 	for name, logs := range map[string]Logs{"stalled": LogsStalled, "broken": LogsBroken} {
