Line protocol: an attempt is encoded once its connection is up

Callers: an endpoint whose connection came up late was told more time than its client had left, and worked for nobody. Cause: Send encoded the remaining time and queued the bytes; they were written after dial and greeting. Evidence: TestTimeoutAfterSlowConnect failed each time: "told 401 ms more than is left". Why it works: the remaining time is computed when the sender takes the message.

--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -9,6 +9,7 @@
 
 	"weirhaven/internal/engine"
 	"weirhaven/internal/lineproto"
+	"weirhaven/internal/settings"
 	"weirhaven/policy"
 )
 
@@ -26,6 +27,9 @@
 	cancel   context.CancelFunc
 
 	// Guarded by endpoint.mu.
+	started       bool        // the sender writes
+	waiting       []*outgoing // until then, oldest first
+	waitingBytes  int
 	greeted       bool
 	awaitingSince time.Time // since when something has been awaited and nothing received; zero: nothing is awaited
 	inFlight      map[uint64]pending
@@ -41,7 +45,12 @@
 	ctx, cancel := context.WithCancel(e.connector.ctx)
 	limits := e.connector.limits
 	return &conn{endpoint: e, ctx: ctx, cancel: cancel, inFlight: map[uint64]pending{},
-		sender: lineproto.NewSender(limits.MaxBody+headBytes*limits.EndpointQueue+slackBytes, limits.StallTimeout)}
+		sender: lineproto.NewSender(maxQueued(limits), limits.StallTimeout)}
+}
+
+// maxQueued bounds the bytes that are queued to one endpoint.
+func maxQueued(limits settings.Limits) int {
+	return limits.MaxBody + headBytes*limits.EndpointQueue + slackBytes
 }
 
 // run serves the connection and then reports all that is still in flight.
@@ -84,10 +93,49 @@
 	if err := c.exchangeGreetings(netConn, reader); err != nil {
 		return err
 	}
-	c.sender.Start(netConn)
+	c.start(netConn)
 	return c.readMessages(reader)
 }
 
+// add takes a message; false: no more may wait. The caller holds endpoint.mu.
+func (c *conn) add(message *outgoing) bool {
+	offset := int64(notWritten)
+	if c.started {
+		var err error
+		if offset, err = c.sender.Send(message.encode()); err != nil {
+			return false
+		}
+	} else {
+		if c.waitingBytes+message.size() > maxQueued(c.endpoint.connector.limits) {
+			return false
+		}
+		c.waiting = append(c.waiting, message)
+		c.waitingBytes += message.size()
+	}
+	c.inFlight[message.id] = pending{offset: offset, healthCheck: message.request == nil}
+	return true
+}
+
+// start begins to write: first what has waited for the connection and was not canceled. What the sender has no space for stays
+// unwritten, and is reported so when the connection ends.
+func (c *conn) start(netConn net.Conn) {
+	c.endpoint.mu.Lock()
+	defer c.endpoint.mu.Unlock()
+	c.started = true
+	for _, message := range c.waiting {
+		p, inFlight := c.inFlight[message.id]
+		if !inFlight {
+			continue
+		}
+		if offset, err := c.sender.Send(message.encode()); err == nil {
+			p.offset = offset
+			c.inFlight[message.id] = p
+		}
+	}
+	c.waiting = nil
+	c.sender.Start(netConn)
+}
+
 func (c *conn) dial() (net.Conn, error) {
 	connector := c.endpoint.connector
 	ctx, cancel := context.WithTimeout(c.ctx, connector.limits.ConnectTimeout)
--- a/internal/endpointconn/endpoint.go
+++ b/internal/endpointconn/endpoint.go
@@ -19,57 +19,31 @@
 	closed bool
 }
 
-// requestHeadroom is the size, in bytes, that the head of a RUN message seldom exceeds.
-const requestHeadroom = 256
-
-// Send sends an attempt of a request. The endpoint is told the time that is left for it.
+// Send sends an attempt of a request, on a connection that may have to be made first. The endpoint is told the time that is left
+// when the attempt is written.
 func (e *endpoint) Send(id uint64, request *engine.Request, attempt int, timeout, _ time.Duration) {
-	m := lineproto.Builder{Buffer: make([]byte, 0, requestHeadroom+len(request.Body))}
-	m.Start(lineproto.VerbRequest, id).
-		Text(lineproto.FieldVolume, request.Volume).
-		Text(lineproto.FieldClass, request.Class).
-		Text(lineproto.FieldObject, request.Object).
-		Text(lineproto.FieldTag, request.Tag).
-		Text(lineproto.FieldTrace, request.Trace).
-		Int(lineproto.FieldShard, int64(request.Shard)).
-		Float(lineproto.FieldUnits, request.Units).
-		Duration(lineproto.FieldTimeout, timeout)
-	if attempt > 0 {
-		m.Int(lineproto.FieldAttempt, int64(attempt))
-	}
-	if request.Retry {
-		m.Int(lineproto.FieldRetry, 1)
-	}
-	e.send(id, m.End(request.Body).Buffer, false)
+	e.send(&outgoing{id: id, request: request, body: request.Body, attempt: attempt, deadline: time.Now().Add(timeout)})
 }
 
 // CheckHealth sends a health check.
-func (e *endpoint) CheckHealth(id uint64) {
-	var m lineproto.Builder
-	e.send(id, m.Start(lineproto.VerbHealthCheck, id).End(nil).Buffer, true)
-}
+func (e *endpoint) CheckHealth(id uint64) { e.send(&outgoing{id: id}) }
 
 // send queues a message on the present connection. What can't be queued is reported from a goroutine, because the engine's loop,
 // which calls this, is in the middle of a turn and would wait for itself.
-func (e *endpoint) send(id uint64, message []byte, healthCheck bool) {
-	if e.enqueue(id, message, healthCheck) {
+func (e *endpoint) send(message *outgoing) {
+	if e.enqueue(message) {
 		return
 	}
-	e.connector.wg.Go(func() { e.report(id, policy.ConnectFailed, healthCheck, nil) })
+	e.connector.wg.Go(func() { e.report(message.id, policy.ConnectFailed, message.request == nil, nil) })
 }
 
-func (e *endpoint) enqueue(id uint64, message []byte, healthCheck bool) bool {
+func (e *endpoint) enqueue(message *outgoing) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.current()
-	if c == nil || len(c.inFlight) >= e.connector.limits.EndpointQueue {
-		return false
-	}
-	offset, err := c.sender.Send(message)
-	if err != nil {
+	if c == nil || len(c.inFlight) >= e.connector.limits.EndpointQueue || !c.add(message) {
 		return false
 	}
-	c.inFlight[id] = pending{offset: offset, healthCheck: healthCheck}
 	if c.awaitingSince.IsZero() {
 		c.awaitingSince = time.Now()
 	}
@@ -96,6 +70,9 @@
 		return
 	}
 	delete(e.conn.inFlight, id)
+	if !e.conn.started {
+		return // it is not encoded
+	}
 	var m lineproto.Builder
 	_, _ = e.conn.sender.Send(m.Start(lineproto.VerbCancel, id).End(nil).Buffer) // only spares the endpoint work
 }
