--- a/policy/doc.go
+++ b/policy/doc.go
@@ -24,7 +24,8 @@
 //     weight tag. ratelimit.go, slowstart.go and pacing.go hold back what would exceed a volume's limit, a warming endpoint's
 //     budget or an endpoint's pace; idempotency.go, ordering.go and retry.go hold back attempts that could have a wrong effect.
 //  4. attempt.go: the outcome feeds latency, pace and outlier detection (outlier.go); then the request is answered, retried or ended.
-//  5. admission.go: what can't be answered in time is shed: rejected with Retry-After where that promises nothing untrue, else failed.
+//     suspension.go leaves out of all durations the time in which the process did not run.
+//  5. admission.go: what can't be answered in time is shed: rejected with Retry-After where that promises nothing untrue, else failed; giveup.go says why.
 //
 // The ordinary path follows "Demand Based Hierarchical QoS Using Storage Resource Pools": demand by Little's law (demand.go), the
 // divvy of capacity among volumes (divvy.go), a concurrency limit driven by latency (concurrency.go) and mClock's tags
