Review case 1: the bricks are bad for 10 s only, and what comes later is counted

Cause: the first form of the script left the bricks bad up to its end, so it did not show whether the gateway recovers.

Change: the bad spell is 10 s of 30 s; answers of other requests more than 1 s after its end are counted in record.txt.

--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -21,6 +21,7 @@
 	copyHosts  = 5
 	copyBricks = 4
 	copyLength = 30 * time.Second
+	copySpell  = 10 * time.Second     // for which the bricks are bad
 	pathDelay  = 2 * time.Millisecond // one way between hosts and bricks
 	brickWork  = 12 * time.Millisecond
 	copyShare  = 0.1                   // share of a bad brick's answers that come twice
@@ -83,7 +84,7 @@
 	return held, nil
 }
 
-// play runs the load. After 3 s the bricks go bad.
+// play runs the load. After 3 s the bricks go bad for copySpell.
 func (r *copyRun) play(hosts []*host) {
 	end := time.Now().Add(copyLength)
 	var clients sync.WaitGroup
@@ -95,6 +96,14 @@
 	time.Sleep(3 * time.Second)
 	r.bad.Store(r.trouble)
 	r.record.add("bricks", "bad from now on: %v", r.trouble)
+	time.Sleep(copySpell)
+	r.bad.Store(false)
+	r.record.add("bricks", "sound again")
+	time.Sleep(time.Second) // until what was under way has ended
+	before := r.foreign.Load()
+	defer func() {
+		r.record.add("case", "%d answers of other requests served later than 1 s after that", r.foreign.Load()-before)
+	}()
 	clients.Wait()
 }
 
