--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -14,11 +14,12 @@
 
 // Case memory: clients stop in the middle of a write and stay, on some hundred connections.
 const (
-	memoryLimit   = 32 // MB
+	memoryLimit   = 40 // MB
 	memorySockets = 1024
 	memoryUsual   = 20  // usual clients, about 200 commands a second in all
-	memoryBad     = 500 // bad clients
+	memoryBad     = 520 // bad clients
 	memoryBody    = 64 << 10
+	memoryFields  = 40      // fields of 300 bytes in the head of a bad client's write
 	memoryMissing = 1 << 10 // bytes of a bad client's write that never come
 	memoryLength  = 15 * time.Second
 	memoryInARow  = 5 // samples over the limit that make a breach
@@ -89,10 +90,12 @@
 // badClient begins a write, stops before its end and waits for its error or the end of the connection, again and again.
 func badClient(h *host, number int, end time.Time) {
 	body := bytes.Repeat([]byte("b"), memoryBody)
+	fields := longHead()
 	for n := 0; time.Now().Before(end); n++ {
 		conn, err := net.Dial("tcp", h.listen)
 		if err == nil {
 			write := command("order-update", fmt.Sprintf("bad%05x%08x", number, n), 0, orderTimeout, body)
+			write = bytes.Replace(write, []byte("\r\n\r\n"), fields, 1)
 			_ = conn.SetDeadline(time.Now().Add(4 * time.Second)) // errors below end the connection, as wanted
 			_, _ = conn.Write(write[:len(write)-memoryMissing])
 			_, _ = io.Copy(io.Discard, conn)
@@ -124,3 +127,13 @@
 	}
 	return private, resident, nil
 }
+
+// longHead returns the fields that a bad client adds to its head, and the head's end.
+func longHead() []byte {
+	var fields bytes.Buffer
+	for i := range memoryFields {
+		fmt.Fprintf(&fields, "\r\nX-Note-%d: %s", i, strings.Repeat("n", 288))
+	}
+	fmt.Fprint(&fields, "\r\n\r\n")
+	return fields.Bytes()
+}
