--- a/review/standin2/line.go
+++ b/review/standin2/line.go
@@ -124,15 +124,24 @@
 queue_type { name: "part-lookup" service_target: "500ms" command_timeout: "3s" importance: 2 late_share: 0.15 }
 queue_type { name: "order-update" service_target: "600ms" command_timeout: "3s" importance: 3 late_share: 0.1 writes: true }
 queue_type { name: "ledger-export" service_target: "2500ms" command_timeout: "7500ms" importance: 1 late_share: 0.3 }
+queue_type { name: "object-get" service_target: "500ms" command_timeout: "3s" importance: 2 late_share: 0.15 }
+queue_type { name: "object-put" service_target: "600ms" command_timeout: "3s" importance: 3 late_share: 0.1 writes: true semantics: TAGGED group: CELL tag_window: "5s" }
 queue_type { name: "ledger-stream" service_target: "2500ms" command_timeout: "7500ms" importance: 1 late_share: 0.3 streaming: true }
 plan { name: "standard" nominal: 20 reservation: 20 weight: 2 }
 volume { name: "yard-1" plan: "standard" hosts: 1 }
 volume { name: "yard-2" plan: "standard" hosts: 1 }
+volume { name: "yard-3" plan: "standard" hosts: 1 }
+volume { name: "yard-4" plan: "standard" hosts: 1 }
+volume { name: "yard-5" plan: "standard" hosts: 1 }
+volume { name: "yard-6" plan: "standard" hosts: 1 }
+volume { name: "yard-7" plan: "standard" hosts: 1 }
+volume { name: "yard-8" plan: "standard" hosts: 1 }
 log { level: "debug" }
 `
 
-// startEdge starts a gateway over the line protocol with these bricks, named brick-0, brick-1 and so on, one a cell.
-func (s *scene) startEdge(bricks []string) (*host, error) {
+// startEdge starts a gateway over the line protocol with these bricks, named brick-0, brick-1 and so on, one a cell. more are further
+// settings.
+func (s *scene) startEdge(bricks []string, more ...string) (*host, error) {
 	listen, err := freeAddress()
 	if err != nil {
 		return nil, err
@@ -141,6 +150,7 @@
 	for i, address := range bricks {
 		text += fmt.Sprintf("brick { name: \"brick-%d\" address: %q zone: \"hafnarfjordur\" cell: %d }\n", i, address, i)
 	}
+	text += strings.Join(more, "")
 	file := filepath.Join(s.folder, "edge.txtpb")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -37,6 +37,7 @@
 	"hidden":   hidden,
 	"memory":   memory,
 	"pipeline": pipeline,
+	"surge":    surge,
 	"shutdown": shutdown,
 }
 
