Review stand-ins end the gateway before they print their verdict

Cause: a run whose output went to a reader that left early was ended by the broken pipe and left its gateway running (seen once).

Change: review/standin2/main.go stops all processes first.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -84,6 +84,7 @@
 	case <-time.After(longest):
 		r.err = fmt.Errorf("not over after %v", longest)
 	}
+	stopHosts() // before anything is printed: a reader of the output that has left ends this program
 	code = r.code(s.record)
 	keepLogs(s.folder)
 	return code, s.record.close()
