--- a/internal/engine/requests_test.go
+++ b/internal/engine/requests_test.go
@@ -90,3 +90,24 @@
 		}
 	}
 }
+
+// Volume names that clients make up must not hold memory for good.
+func TestVolumeStateIsBounded(t *testing.T) {
+	e := newQuietEngine(settings())
+	e.lookupVolume = nil
+	e.run(time.Second)
+	for i := range 30000 {
+		request := &Request{Volume: fmt.Sprint("v", i), Plan: "plain", Gateways: 1, Class: "read", Object: "o", Units: 1, Respond: func(Response) {}}
+		e.Submit(request)
+		e.endAttempt(len(e.sent)-1, policy.Served)
+		e.run(100 * time.Microsecond)
+	}
+	const allowed = 5000
+	if n := len(e.volumes); n > allowed {
+		t.Errorf("%d volumes are kept, wanted at most %d", n, allowed)
+	}
+	e.run(time.Minute)
+	if n := len(e.volumes); n > allowed/10 {
+		t.Errorf("%d volumes are kept after a minute without requests, wanted at most %d", n, allowed/10)
+	}
+}
--- a/internal/soak/connection.go
+++ b/internal/soak/connection.go
@@ -68,15 +68,14 @@
 	if err != nil {
 		return
 	}
-	text := q.text()
+	text := q.text(l.run.deployment.RequestTimeout)
 	sent := 0
 	if q.piecewise {
 		sent = len(text) / 2
 		_, _ = io.WriteString(c.conn, text[:sent])
 		time.Sleep(30 * time.Millisecond)
 	}
-	l.run.recorder.See(&pb.Seen{What: pb.Seen_ASKED, Host: uint32(q.process), Incarnation: c.incarnation, Command: q.number, First: q.number,
-		Volume: q.volume, Plan: uint32(q.plan), QueueType: uint32(q.class), Units: float64(q.units), Cell: int32(q.shard), Timeout: int64(requestTimeout)})
+	l.recordAsked(q, c)
 	if _, err := io.WriteString(c.conn, text[sent:]); err != nil {
 		l.finishWithoutResponse(q, c, false)
 		return
@@ -87,6 +86,12 @@
 	l.awaitResponse(q, c)
 }
 
+// recordAsked records that a request is sent on a connection.
+func (l *load) recordAsked(q request, c *connection) {
+	l.run.recorder.See(&pb.Seen{What: pb.Seen_ASKED, Host: uint32(q.process), Incarnation: c.incarnation, Command: q.number, First: q.number,
+		Volume: q.volume, Plan: uint32(q.plan), QueueType: uint32(q.class), Units: float64(q.units), Cell: int32(q.shard), Timeout: int64(l.run.deployment.RequestTimeout)})
+}
+
 // abandon disconnects a client before its response and records when.
 func (l *load) abandon(q request, c *connection) {
 	l.mu.Lock()
@@ -97,11 +102,11 @@
 
 // awaitResponse waits for the response, until some time after the request's timeout: a late response is recorded as such.
 func (l *load) awaitResponse(q request, c *connection) {
-	deadline := time.AfterFunc(requestTimeout, func() {
+	deadline := time.AfterFunc(l.run.deployment.RequestTimeout, func() {
 		l.run.recorder.See(&pb.Seen{What: pb.Seen_GIVEN_UP, Host: uint32(q.process), Command: q.number})
 	})
 	defer deadline.Stop()
-	_ = c.conn.SetReadDeadline(time.Now().Add(requestTimeout + answerSlack + 2*observationDelay))
+	_ = c.conn.SetReadDeadline(time.Now().Add(l.run.deployment.RequestTimeout + answerSlack + 2*observationDelay))
 	head, body, err := c.readResponse()
 	if err != nil {
 		l.finishWithoutResponse(q, c, isTimeout(err))
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -16,7 +16,7 @@
 }
 
 // faultKinds is the fault catalog. Its order determines which faults a seed draws.
-var faultKinds = []faultKind{
+var faultKinds = append([]faultKind{
 	{"stop", stopProcesses},
 	{"kill", killProcesses},
 	{"reload", reloadProcesses},
@@ -48,7 +48,9 @@
 	{"crowd", holdIdleConnections},
 	{"signals-in-series", signalSeries},
 	{"stop-crowded", stopCrowded},
-}
+	{"clients-depart-unread", departUnread},
+	{"kills-in-series", killInSeries},
+}, hostileFaults()...)
 
 // Names returns the names of all faults, as Options.Faults takes them.
 func Names() []string {
--- a/internal/soak/fault_client.go
+++ b/internal/soak/fault_client.go
@@ -50,8 +50,8 @@
 	seed := rng.Int63()
 	forEachConcurrently(pickSome(rng, r.processes, 8), func(p *process) {
 		var clients sync.WaitGroup
-		for client := range sockets {
-			own := rand.New(rand.NewSource(seed + int64(p.number*sockets+client)))
+		for client := range r.deployment.Sockets {
+			own := rand.New(rand.NewSource(seed + int64(p.number*r.deployment.Sockets+client)))
 			clients.Add(1)
 			go func() {
 				defer clients.Done()
@@ -66,7 +66,7 @@
 func holdIdleConnections(ctx context.Context, r *run, rng *rand.Rand) {
 	r.load.behavior.socketsExhausted.Store(true)
 	partial := rng.Intn(2) == 0
-	forEachConcurrently(pickSome(rng, r.processes, 4), func(p *process) { r.load.holdIdle(ctx, p.number, sockets, partial) })
+	forEachConcurrently(pickSome(rng, r.processes, 4), func(p *process) { r.load.holdIdle(ctx, p.number, r.deployment.Sockets, partial) })
 	time.AfterFunc(time.Second, func() { r.load.behavior.socketsExhausted.Store(false) })
 }
 
--- a/internal/soak/fault_process.go
+++ b/internal/soak/fault_process.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// secondKillDelay is the time between the start of a process and the second kill of a series.
+const secondKillDelay = 500 * time.Millisecond
+
 // restart starts a process again and reports a violation if it can't be started.
 func (r *run) restart(p *process) {
 	if err := p.start(); err != nil {
@@ -40,6 +43,15 @@
 	})
 }
 
+// killInSeries kills processes twice, the second time soon after their start.
+func killInSeries(ctx context.Context, r *run, rng *rand.Rand) {
+	forEachConcurrently(pickSome(rng, r.processes, 4), func(p *process) {
+		r.restartAfter(p, p.kill)
+		wait(ctx, secondKillDelay)
+		r.restartAfter(p, p.kill)
+	})
+}
+
 // reloadProcesses reloads the configuration of processes.
 func reloadProcesses(_ context.Context, r *run, rng *rand.Rand) {
 	forEachConcurrently(pickSome(rng, r.processes, 3), func(p *process) {
--- a/internal/soak/fault_signals.go
+++ b/internal/soak/fault_signals.go
@@ -49,7 +49,7 @@
 func reloadDuringStop(p *process, rng *rand.Rand) {
 	p.stopWith(func() {
 		p.signal(syscall.SIGTERM)
-		time.Sleep(time.Duration(rng.Int63n(int64(requestTimeout))))
+		time.Sleep(time.Duration(rng.Int63n(int64(p.run.deployment.RequestTimeout))))
 		p.reloadOrReport()
 	})
 }
@@ -73,7 +73,7 @@
 	p.signal(syscall.SIGTERM)
 	select {
 	case <-p.exited:
-	case <-time.After(requestTimeout + killGrace):
+	case <-time.After(p.run.deployment.killDelay()):
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 	}
@@ -96,7 +96,7 @@
 			fillEnded := make(chan struct{})
 			go func() {
 				defer close(fillEnded)
-				r.load.holdIdle(fillCtx, p.number, sockets, partial)
+				r.load.holdIdle(fillCtx, p.number, r.deployment.Sockets, partial)
 			}()
 			wait(ctx, idleFillDelay)
 			p.stop()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -20,7 +20,7 @@
 
 // judge checks the whole record and the processes' logs after the run, and returns the report.
 func (r *run) judge() *Report {
-	observations, header := r.recorder.All(), auditHeader(r.options.Seed, len(r.processes))
+	observations, header := r.recorder.All(), auditHeader(r.options.Seed, len(r.processes), r.deployment)
 	if err := record.Write(r.directory, header, observations); err != nil { // for weirhavenctl audit, which can judge the record again
 		r.report(Violation{Rule: "soak", Detail: err.Error()})
 	}
@@ -40,7 +40,7 @@
 		r.violations = append(r.violations, p.scanLog()...)
 	}
 	return &Report{Seed: r.options.Seed, Processes: len(r.processes), Requests: verdict.Totals.Sent, Completed: verdict.Totals.Served, Faults: r.faults.injected,
-		Overlapping: r.faults.overlapping, Violations: r.violations}
+		Overlapping: r.faults.overlapping, PeakMemory: r.peakMemory(), Limits: r.deployment, Violations: r.violations}
 }
 
 // judgeDeadlines checks each attempt against its client's deadline and against the time at which its client disconnected.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -37,7 +37,8 @@
 	exit       error
 	endedByRun bool // this run stopped or killed the process
 
-	suspensions []timeRange // suspensions longer than maxProcessStall
+	peakMemory  atomic.Int64 // highest private memory of all incarnations, in KiB
+	suspensions []timeRange  // suspensions longer than maxProcessStall
 
 	known struct {
 		sync.Mutex
--- a/internal/soak/process_control.go
+++ b/internal/soak/process_control.go
@@ -76,7 +76,7 @@
 		return
 	}
 	p.stopSignaledAt.Store(int64(p.run.recorder.Now()))
-	kill := time.NewTimer(requestTimeout + killGrace)
+	kill := time.NewTimer(p.run.deployment.killDelay())
 	defer kill.Stop()
 	send()
 	select {
--- a/internal/soak/process_log.go
+++ b/internal/soak/process_log.go
@@ -8,9 +8,6 @@
 	"strings"
 )
 
-// maxGoroutines is the most goroutines of a process: two for each descriptor, and some for the rest of the program.
-const maxGoroutines = 2*sockets + 50
-
 // stateLinePattern matches a state line and captures its heap size in bytes and its number of goroutines.
 var stateLinePattern = regexp.MustCompile(`msg=state .*heap=(\d+) .*goroutines=(\d+)`)
 
@@ -27,11 +24,12 @@
 		return nil
 	}
 	defer func() { _ = logFile.Close() }()
+	limits := p.run.deployment
 	lines := bufio.NewScanner(logFile)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
 		text := lines.Text()
-		if found := stateLinePattern.FindStringSubmatch(text); found != nil && (parseDigits(found[1]) > memoryMB<<20/2 || parseDigits(found[2]) > maxGoroutines) {
+		if found := stateLinePattern.FindStringSubmatch(text); found != nil && (parseDigits(found[1]) > limits.MemoryMB<<20/2 || parseDigits(found[2]) > limits.maxGoroutines()) {
 			violations = append(violations, Violation{Rule: "bounded state", Process: p.name(), Detail: text, Log: p.path(".log")})
 		}
 		if strings.Contains(text, "invariant broken") || strings.Contains(text, "panic") || strings.Contains(text, "fatal error") {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -13,6 +13,8 @@
 	Completed   int // number of requests that succeeded
 	Faults      int // number of faults that were injected
 	Overlapping int // number of faults that began while another one was active
+	PeakMemory  int // highest private memory of a process, in KiB
+	Limits      Deployment
 	Violations  []Violation
 }
 
--- a/internal/soak/request.go
+++ b/internal/soak/request.go
@@ -22,6 +22,7 @@
 	abandonAfter  time.Duration // time after sending at which the client disconnects; 0: it waits for the response
 	newConnection bool          // sent on a new connection
 	closeAfter    bool          // the client closes the connection after the response
+	padding       int           // additional bytes of the body of a write
 }
 
 // drawRequest draws a request to a process. A change of the number or the order of the draws changes the load of every seed.
@@ -57,17 +58,17 @@
 	return class
 }
 
-// text returns the request in its wire format.
-func (q *request) text() string {
+// text returns the request in its wire format, with the client's timeout.
+func (q *request) text(timeout time.Duration) string {
 	c := classes[q.class]
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s /%s/%s/%s HTTP/1.1\r\nHost: x\r\nX-Txn: %d\r\nX-Lane: %s\r\nTier: %s\r\nX-Remaining-Ms: %d\r\nIO-Info: units=%d,shard=%d,hosts=%d\r\n",
-		c.method, c.name, q.volume, q.object, q.number, c.name, plans[q.plan].Name, requestTimeout.Milliseconds(), q.units, q.shard, gatewaysPerVolume)
+		c.method, c.name, q.volume, q.object, q.number, c.name, plans[q.plan].Name, timeout.Milliseconds(), q.units, q.shard, gatewaysPerVolume)
 	if c.idempotencyKey {
 		fmt.Fprintf(&b, "Idempotency-Key: k%d\r\n", q.number)
 	}
 	if c.method == "PUT" {
-		body := strings.Repeat("x", 64*q.units)
+		body := strings.Repeat("x", 64*q.units+q.padding)
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	} else {
 		b.WriteString("\r\n")
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -13,7 +13,6 @@
 const (
 	shardCount        = 8
 	gatewaysPerVolume = 3 // number of processes that receive the requests of a volume
-	requestTimeout    = time.Second
 	drainGrace        = 250 * time.Millisecond
 	answerSlack       = 500 * time.Millisecond // time after the deadline; a request without a response by then is lost
 	idempotencyWindow = 500 * time.Millisecond // time for which an endpoint remembers an idempotency key
@@ -25,8 +24,6 @@
 	unitWork          = 2 * time.Millisecond
 	meanUnits         = 1.5 // mean units of a request
 	maxAttempts       = 3
-	sockets           = 96                     // most connections of a process
-	memoryMB          = 64                     // memory limit of a process, in MiB
 	killGrace         = 700 * time.Millisecond // time between the longest deadline and SIGKILL
 	// newClientsAfterStop is how long after SIGTERM clients still open new connections.
 	newClientsAfterStop = 400 * time.Millisecond
@@ -69,12 +66,12 @@
 }
 
 // auditHeader returns the header of the record, with the settings that the audit judges by.
-func auditHeader(seed int64, processes int) *pb.Header {
+func auditHeader(seed int64, processes int, limits Deployment) *pb.Header {
 	header := &pb.Header{Seed: seed, Drill: "soak", Hosts: uint32(processes), Plan: plans, Blur: int64(observationDelay),
 		Fleet: &pb.Fleet{Cancel: true, MaxDispatches: maxAttempts, AnswerSlack: answerSlack.String(), Resolution: "2ms", DrainGrace: drainGrace.String(),
 			ColdFrom: slowStartFraction, ColdFor: slowStartDuration.String(), ColdUnits: slowStartUnits, FallMultiple: collapseMultiple, FallAfter: collapseAfter.String(), UsualUnits: meanUnits, MostUnits: 8}}
 	for _, c := range classes {
-		header.QueueType = append(header.QueueType, &pb.QueueType{Name: c.name, ServiceTarget: "400ms", CommandTimeout: requestTimeout.String(), TagWindow: idempotencyWindow.String(),
+		header.QueueType = append(header.QueueType, &pb.QueueType{Name: c.name, ServiceTarget: limits.latencyObjective().String(), CommandTimeout: limits.RequestTimeout.String(), TagWindow: idempotencyWindow.String(),
 			Importance: 1, Semantics: c.auditSemantics, Writes: c.method == "PUT"})
 	}
 	return header
@@ -85,10 +82,11 @@
 
 // configuration encodes a process's configuration file.
 func configuration(p *process, known agent.List, processes int) ([]byte, error) {
+	limits := p.run.deployment
 	var classObjects, planObjects []object
 	changesData := []bool{}
 	for _, c := range classes {
-		classObjects = append(classObjects, object{"name": c.name, "aim_us": micros(400 * time.Millisecond), "give_up_us": micros(requestTimeout), "window_us": micros(idempotencyWindow),
+		classObjects = append(classObjects, object{"name": c.name, "aim_us": micros(limits.latencyObjective()), "give_up_us": micros(limits.RequestTimeout), "window_us": micros(idempotencyWindow),
 			"worth": 1, "late_value": 0.5, "semantics": c.semantics, "group": "all"})
 		changesData = append(changesData, c.method == "PUT")
 	}
@@ -97,7 +95,7 @@
 			"cap_slack": plan.Slack, "parts": plan.Weight, "worth_factor": 1})
 	}
 	return json.Marshal(object{"name": p.name(), "listen": p.address, "discovery": p.agent.Address(), "seed": fmt.Sprintf("%016x", 7919*(p.number+1)),
-		"limits": object{"cores": 0.5, "memory_mb": memoryMB, "sockets": sockets}, "known": known,
+		"limits": object{"cores": 0.5, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets}, "known": known,
 		"settings": object{"balancers": processes, "zone": "a", "discovery": "push", "resolution_us": 2000, "classes": classObjects, "plans": planObjects,
 			"limits": object{"second_copies": false, "cancel": true, "max_attempts": maxAttempts, "connect_timeout_us": micros(250 * time.Millisecond),
 				"conn_idle_us": micros(20 * time.Second), "retry_after": true, "max_retry_after_us": micros(time.Second)},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,6 +28,7 @@
 	Faults    []string      // names of the faults to inject; empty: all
 	Program   []string      // command line of a gateway process
 	Env       []string      // additions to its environment, as KEY=VALUE
+	Limits    *Deployment   // nil: drawn by the seed
 	Logs      Logs          // destination of the processes' logs
 	Directory string        // directory for configurations and logs; empty: a temporary one
 	Out       io.Writer     // receives a line for each injected fault
@@ -46,6 +47,7 @@
 // run is the state of one run.
 type run struct {
 	options    Options
+	deployment Deployment
 	directory  string
 	recorder   *record.Recorder
 	discovery  *agent.Discovery
@@ -70,7 +72,11 @@
 	if options.Rate <= 0 {
 		options.Rate = defaultRate
 	}
-	r := &run{options: options, directory: options.Directory, recorder: record.New(), discovery: agent.New(), attempts: map[uint64]uint32{}}
+	if options.Limits == nil {
+		limits := DeploymentOf(options.Seed)
+		options.Limits = &limits
+	}
+	r := &run{options: options, deployment: *options.Limits, directory: options.Directory, recorder: record.New(), discovery: agent.New(), attempts: map[uint64]uint32{}}
 	if err := r.makeDirectory(); err != nil {
 		return nil, err
 	}
@@ -85,11 +91,19 @@
 	bounded, cancel := context.WithTimeout(ctx, options.Length)
 	defer cancel()
 	r.load.start()
+	memoryWatched := make(chan struct{})
+	watching, stopWatching := context.WithCancel(context.Background())
+	go func() {
+		defer close(memoryWatched)
+		r.watchMemory(watching)
+	}()
 	r.injectFaults(bounded, rand.New(rand.NewSource(options.Seed+1)))
 	<-bounded.Done()
 	r.faultGroup.Wait()
 	r.load.stop()
 	r.shutDownProcesses()
+	stopWatching()
+	<-memoryWatched
 	return r.judge(), ctx.Err()
 }
 
