--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"maps"
 	"net/textproto"
 	"slices"
 	"strconv"
@@ -14,7 +13,7 @@
 	Status         int    // set for a response
 	Close          bool   // true: the sender closes the connection after this message
 	Length         int64  // length of the body in bytes, or Chunked or UntilEnd
-	fields         textproto.MIMEHeader
+	fields         []field
 }
 
 // Values of Head.Length for a body of unknown length.
@@ -25,14 +24,24 @@
 
 // Get returns the value of a field, or "" if the field is absent or occurs more than once. The name must be in canonical form.
 func (h *Head) Get(name string) string {
-	if values := h.fields[name]; len(values) == 1 {
+	if values := h.values(name); len(values) == 1 {
 		return values[0]
 	}
 	return ""
 }
 
+// values returns the values of a field in their order.
+func (h *Head) values(name string) (values []string) {
+	for _, f := range h.fields {
+		if f.name == name {
+			values = append(values, f.value)
+		}
+	}
+	return values
+}
+
 // Count returns the number of occurrences of a field. The name must be in canonical form.
-func (h *Head) Count(name string) int { return len(h.fields[name]) }
+func (h *Head) Count(name string) int { return len(h.values(name)) }
 
 // hopByHop is the set of fields that are not forwarded (RFC 9110, 7.6.1), besides those that Connection names. It includes the
 // framing fields, since each sender frames the forwarded message itself.
@@ -47,12 +56,11 @@
 	for i, option := range named {
 		named[i] = textproto.CanonicalMIMEHeaderKey(option)
 	}
-	for _, name := range slices.Sorted(maps.Keys(h.fields)) {
-		if hopByHop[name] || slices.Contains(own, name) || slices.Contains(named, name) {
-			continue
-		}
-		for _, value := range h.fields[name] {
-			text = AppendField(text, name, value)
+	sorted := slices.Clone(h.fields)
+	slices.SortStableFunc(sorted, func(a, b field) int { return strings.Compare(a.name, b.name) })
+	for _, f := range sorted {
+		if !hopByHop[f.name] && !slices.Contains(own, f.name) && !slices.Contains(named, f.name) {
+			text = AppendField(text, f.name, f.value)
 		}
 	}
 	return text
@@ -60,7 +68,7 @@
 
 // connectionOptions returns the tokens of all Connection fields.
 func (h *Head) connectionOptions() (options []string) {
-	for _, value := range h.fields["Connection"] {
+	for _, value := range h.values("Connection") {
 		for _, option := range strings.Split(value, ",") {
 			options = append(options, strings.TrimSpace(option))
 		}
@@ -68,12 +76,22 @@
 	return options
 }
 
-// readFields reads the fields that follow the start line and sets Length and Close from them.
-func (r *Reader) readFields(h *Head) (err error) {
-	if h.fields, err = r.text.ReadMIMEHeader(); err != nil {
-		return r.cause(err)
+// startLine reads the first line of a head. It releases the charge of the previous head.
+func (r *Reader) startLine() (string, error) {
+	r.ReleaseHead()
+	line, err := r.readLine(maxHead)
+	if err != nil {
+		return "", err
+	}
+	if len(line) > maxLine {
+		return "", malformed(431, "start line longer than %d bytes", maxLine)
 	}
-	if err := checkFields(h.fields); err != nil {
+	return string(line), r.chargeHead(len(line))
+}
+
+// readRest reads the fields that follow the start line, in at most limit bytes, and sets Length and Close from them.
+func (r *Reader) readRest(h *Head, limit int) (err error) {
+	if h.fields, err = r.readFields(limit); err != nil {
 		return err
 	}
 	for _, option := range h.connectionOptions() {
@@ -83,34 +101,12 @@
 	return err
 }
 
-// checkFields checks the number and size of the fields. It rejects characters that a less strict parser could interpret as the
-// start of another field.
-func checkFields(fields textproto.MIMEHeader) error {
-	n := 0
-	for name, values := range fields {
-		if strings.IndexFunc(name, notVisible) >= 0 {
-			return malformed(400, "malformed field name")
-		}
-		for _, value := range values {
-			if n++; n > maxFields || len(value) > maxLine {
-				return malformed(431, "header fields exceed the size or count limit")
-			}
-			if strings.IndexFunc(value, isControl) >= 0 {
-				return malformed(400, "control character in field %s", clip(name))
-			}
-		}
-	}
-	return nil
-}
-
 func notVisible(r rune) bool { return r <= ' ' || r >= 0x7f }
 
-func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
-
 // framing returns the length of the body, or how its end is found. A message with contradicting framing fields is an error:
 // the next hop might interpret them differently, so that another message could hide in the body (request smuggling).
 func framing(h *Head) (int64, error) {
-	length, coding := h.fields["Content-Length"], h.fields["Transfer-Encoding"]
+	length, coding := h.values("Content-Length"), h.values("Transfer-Encoding")
 	switch {
 	case len(length) > 0 && len(coding) > 0:
 		return 0, malformed(400, "both Content-Length and Transfer-Encoding")
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -79,7 +79,8 @@
 		"GET /" + strings.Repeat("a", 5000) + " HTTP/1.1\r\n":                      "431: start line longer than 4096 bytes",
 		"GET /" + strings.Repeat("a", 50000):                                       "431: message exceeds the size limit",
 		head + strings.Repeat("X: y\r\n", 100) + "\r\n":                            "431: header fields exceed the size or count limit",
-		head + strings.Repeat("X: y\r\n", 100000):                                  "431: message exceeds the size limit",
+		head + strings.Repeat("X: y\r\n", 100000):                                  "431: header fields exceed the size or count limit",
+		head + "X: " + strings.Repeat("y", 100000):                                 "431: message exceeds the size limit",
 		head + "X: y": "unexpected EOF",
 	} {
 		if got := readRequest(in); got != want {
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -23,11 +23,11 @@
 }
 
 // Request reads the head of a request. It returns an *Error if the head is malformed; any other error comes from the
-// connection.
+// connection, or from the Memory. It releases the previous head.
 func (r *Reader) Request() (*Head, error) {
-	line, err := r.line()
+	line, err := r.startLine()
 	if err == nil && line == "" { // RFC 9112, 2.2: a server should ignore an empty line before a request
-		line, err = r.line()
+		line, err = r.startLine()
 	}
 	if err != nil {
 		return nil, err
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := r.readFields(h); err != nil {
+	if err := r.readRest(h, maxHead-len(line)); err != nil {
 		return nil, err
 	}
 	if h.Count("Host") != 1 {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -3,10 +3,10 @@
 import "strings"
 
 // Response reads the head of a final response and skips up to maxInterim interim responses before it. It returns an *Error if
-// a head is malformed; any other error comes from the connection.
+// a head is malformed; any other error comes from the connection or from the Memory. It releases the previous head.
 func (r *Reader) Response() (*Head, error) {
 	for range maxInterim {
-		line, err := r.line()
+		line, err := r.startLine()
 		if err != nil {
 			return nil, err
 		}
@@ -14,14 +14,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := r.readFields(h); err != nil {
+		if err := r.readRest(h, maxHead-len(line)); err != nil {
 			return nil, err
 		}
 		switch {
 		case h.Status == 101:
 			return nil, malformed(502, "unexpected protocol upgrade")
 		case h.Status < 200:
-			r.bound.remaining = maxHead + readAhead
 			continue
 		case h.Status == 204 || h.Status == 304: // never have a body
 			h.Length = 0
