Charge heads, bodies and pipelined input of clients to budgets that come from memory_mb

Nothing bounded the bodies being read, 16 KiB of pipelined input of each connection were outside the shared bound, and reads and lingering held 4 to 8 KB on each stack.

Every client connection has an account of internal/httpgateway/membudget: buffers beyond 1 KB, fields, bodies, forwarded heads and pipelined input are charged before they are allocated. When the budget is used up the connection that holds most and has not sent its request whole gives way (503 and the end), so that a client with a small request is served; whoever holds most is refused itself. The number of client connections is bounded by the memory as well. Names that the engine keeps no longer keep the head that they came in.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -40,6 +40,14 @@
 	return values
 }
 
+// Size returns the number of bytes that the start line and the fields take.
+func (h *Head) Size() (size int) {
+	for _, f := range h.fields {
+		size += len(f.name) + len(f.value) + len(": \r\n")
+	}
+	return size + len(h.Method) + len(h.Target)
+}
+
 // Count returns the number of occurrences of a field. The name must be in canonical form.
 func (h *Head) Count(name string) int { return len(h.values(name)) }
 
--- a/internal/httpgateway/downstream/conn.go
+++ b/internal/httpgateway/downstream/conn.go
@@ -11,6 +11,7 @@
 
 	"weirhaven/internal/engine"
 	"weirhaven/internal/http1"
+	"weirhaven/internal/httpgateway/membudget"
 	"weirhaven/internal/httpgateway/metrics"
 	"weirhaven/internal/httpgateway/socket"
 )
@@ -21,6 +22,7 @@
 type conn struct {
 	server    *Server
 	nc        net.Conn
+	memory    *membudget.Account // what the requests of the connection hold
 	pipeline  *pipelineBuffer
 	reader    *http1.Reader
 	responses chan engine.Response // buffer of one, so that the loop never blocks on it
@@ -34,6 +36,7 @@
 	releaseBody     func()        // releases the response's body; set in the loop before the response is sent on responses
 
 	// State that finish checks: a request that was read completely gets a response unless its client has disconnected.
+	charged     int             // bytes of memory that the present request holds, beside what reader holds
 	pendingID   string          // id of the request whose response is pending; empty: none
 	request     *engine.Request // submitted request that is neither answered nor canceled
 	clientGone  bool            // true: the client has disconnected
@@ -56,8 +59,9 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, responses: make(chan engine.Response, 1), requestDeadline: time.Now().Add(requestTimeout)}
-	c.pipeline = &pipelineBuffer{source: c, now: s.options.Loop.Now, sharedFree: &s.readAheadFree}
-	c.reader = http1.NewReader(c.pipeline)
+	c.memory = s.options.RequestMemory.Open(func() { s.giveWay(c) })
+	c.pipeline = &pipelineBuffer{source: c, now: s.options.Loop.Now, memory: s.options.ReadAheadMemory.Open(nil)}
+	c.reader = http1.NewReaderWithMemory(c.pipeline, c.memory)
 	return c
 }
 
@@ -79,6 +83,7 @@
 		return false
 	}
 	c.requestDeadline = time.Time{}
+	c.memory.SetYield(membudget.ToNobody)
 	c.server.moveTo(c, idle, time.Now().Add(idleTimeout))
 	return true
 }
@@ -92,6 +97,7 @@
 		c.lastResponse = true
 		return
 	}
+	c.memory.SetYield(membudget.ToSmaller)
 	c.server.moveTo(c, reading, c.requestDeadline)
 }
 
@@ -140,7 +146,8 @@
 	c.checkNoPendingResponse()
 	c.server.options.Recorder.Count(metrics.Closed, c.closeReason)
 	c.server.options.Log.Debug("client connection closed", "client", c.nc.RemoteAddr().String(), "reason", string(c.closeReason), "request", c.pendingID)
-	c.pipeline.release()
+	c.pipeline.close()
+	c.memory.Close()
 	c.releaseResponseBody()
 	c.server.remove(c)
 }
@@ -162,7 +169,7 @@
 // mayDropPipelined reports whether the connection may be closed without serving its pipelined requests.
 func (c *conn) mayDropPipelined() bool {
 	switch c.closeReason {
-	case metrics.ClientRequestedClose, metrics.BadRequest, metrics.PipelineLimit:
+	case metrics.ClientRequestedClose, metrics.BadRequest, metrics.PipelineLimit, metrics.MemoryLimit:
 		return true
 	}
 	return false
--- a/internal/httpgateway/downstream/eviction.go
+++ b/internal/httpgateway/downstream/eviction.go
@@ -75,6 +75,14 @@
 	_ = c.nc.SetReadDeadline(pastDeadline)
 }
 
+// giveWay retires a connection whose incomplete request holds memory that others need. It may be called while membudget's lock is
+// held: nothing here may charge or release memory while it holds mu.
+func (s *Server) giveWay(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retire(c, metrics.MemoryLimit)
+}
+
 // retireAll retires the connections in conns that have been in their state for at least minAge. The caller holds mu.
 func (s *Server) retireAll(conns *list.List, minAge time.Duration, reason metrics.Reason) {
 	for oldest := conns.Front(); oldest != nil; oldest = conns.Front() {
--- a/internal/httpgateway/downstream/pipeline.go
+++ b/internal/httpgateway/downstream/pipeline.go
@@ -4,22 +4,25 @@
 	"errors"
 	"io"
 	"os"
-	"sync/atomic"
 	"time"
+
+	"weirhaven/internal/httpgateway/membudget"
 )
 
 // pipelineBuffer buffers input between a connection and its request reader. It holds the pipelined requests that arrive while
 // an earlier request is in progress. It records when their bytes arrived, since their timeouts start then. Only the
 // connection's goroutine uses it.
 type pipelineBuffer struct {
-	source     io.Reader
-	now        func() time.Duration // the loop's clock
-	buffered   []byte               // bytes read ahead
-	consumed   int64                // number of bytes returned by Read so far
-	arrivals   []arrival            // ranges that contain the buffered and the last consumed bytes, oldest first
-	err        error                // permanent error of the connection
-	truncated  bool                 // true: the buffer limit was exceeded, and input after buffered was discarded
-	sharedFree *atomic.Int64        // bytes left in the buffer space that all connections share
+	source    io.Reader
+	now       func() time.Duration // the loop's clock
+	buffered  []byte               // bytes read ahead; their array is charged to memory
+	charged   int                  // size of that array
+	consumed  int64                // number of bytes returned by Read so far
+	arrivals  []arrival            // ranges that contain the buffered and the last consumed bytes, oldest first
+	err       error                // permanent error of the connection
+	muchComes bool                 // true: the last read filled its buffer
+	truncated bool                 // true: the buffer limit was exceeded, and input after buffered was discarded
+	memory    *membudget.Account
 }
 
 // arrival is a range of bytes that arrived at the same time.
@@ -29,10 +32,12 @@
 }
 
 const (
-	maxBuffered   = 256 << 10 // buffer limit of one connection in bytes
-	ownBuffered   = 16 << 10  // part of maxBuffered that doesn't count against the shared space, in bytes
-	readAheadSize = 4 << 10   // size of one read in bytes
-	maxArrivals   = 64        // limit on recorded ranges; the last one is overwritten beyond it
+	maxBuffered      = 256 << 10 // buffer limit of one connection in bytes
+	firstBuffered    = 2 << 10   // size of a connection's first buffer in bytes
+	smallReadAhead   = 1 << 10   // size of a read in bytes
+	largeReadAhead   = 16 << 10  // size of a read in bytes while much comes
+	largeReadBuffers = 8         // number of buffers for large reads, for all connections together
+	maxArrivals      = 64        // limit on recorded ranges; the last one is overwritten beyond it
 )
 
 var errPipelineLimit = errors.New("pipelined requests exceed the buffer limit")
@@ -42,9 +47,8 @@
 	if len(b.buffered) > 0 {
 		n := copy(p, b.buffered)
 		b.consumed += int64(n)
-		b.account(-n)
 		if b.buffered = b.buffered[n:]; len(b.buffered) == 0 {
-			b.buffered = nil
+			b.drop()
 		}
 		return n, nil
 	}
@@ -66,30 +70,63 @@
 	if b.err != nil {
 		return b.err
 	}
-	var piece [readAheadSize]byte
-	n, err := b.source.Read(piece[:])
+	if b.muchComes {
+		select {
+		case buffer := <-largeBuffers:
+			defer func() { largeBuffers <- buffer }()
+			return b.readAheadInto(buffer)
+		default:
+		}
+	}
+	var small [smallReadAhead]byte
+	return b.readAheadInto(small[:])
+}
+
+// largeBuffers holds the unused buffers for large reads.
+var largeBuffers = func() chan []byte {
+	buffers := make(chan []byte, largeReadBuffers)
+	for range largeReadBuffers {
+		buffers <- make([]byte, largeReadAhead)
+	}
+	return buffers
+}()
+
+// readAheadInto waits for bytes, reads them into piece and buffers them.
+func (b *pipelineBuffer) readAheadInto(piece []byte) error {
+	n, err := b.source.Read(piece)
+	b.muchComes = n == len(piece)
 	b.received(b.consumed+int64(len(b.buffered)), n, err)
-	if b.truncated = b.truncated || n > 0 && !b.fits(n); !b.truncated {
-		b.account(n)
+	if b.truncated = b.truncated || n > 0 && !b.makeRoom(n); !b.truncated {
 		b.buffered = append(b.buffered, piece[:n]...)
 	}
 	return err
 }
 
-// fits reports whether n more bytes may be buffered.
-func (b *pipelineBuffer) fits(n int) bool {
-	n += len(b.buffered)
-	return n <= ownBuffered || n <= maxBuffered && b.sharedFree.Load() >= readAheadSize
+// makeRoom charges and makes space for n more bytes; false: the limit or the memory is used up.
+func (b *pipelineBuffer) makeRoom(n int) bool {
+	length := len(b.buffered) + n
+	if length <= cap(b.buffered) {
+		return true
+	}
+	size := max(firstBuffered, length, min(2*length, maxBuffered))
+	if length > maxBuffered || !b.memory.TryCharge(size) {
+		return false
+	}
+	larger := make([]byte, len(b.buffered), size)
+	copy(larger, b.buffered)
+	b.memory.Release(b.charged)
+	b.buffered, b.charged = larger, size
+	return true
 }
 
-// account charges n more buffered bytes to the shared space, as far as they exceed ownBuffered; a negative n releases bytes.
-func (b *pipelineBuffer) account(n int) {
-	before, after := max(len(b.buffered)-ownBuffered, 0), max(len(b.buffered)+n-ownBuffered, 0)
-	b.sharedFree.Add(int64(before - after))
+// drop drops the buffered bytes and releases their charge.
+func (b *pipelineBuffer) drop() {
+	b.memory.Release(b.charged)
+	b.buffered, b.charged = nil, 0
 }
 
-// release returns the connection's part of the shared space when the connection is closed.
-func (b *pipelineBuffer) release() { b.account(-len(b.buffered)) }
+// close releases everything when the connection is closed.
+func (b *pipelineBuffer) close() { b.memory.Close() }
 
 // received records the arrival time of n bytes, the first of which has the offset from. It keeps err as the permanent error
 // unless err is an exceeded deadline.
--- a/internal/httpgateway/downstream/reject.go
+++ b/internal/httpgateway/downstream/reject.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"weirhaven/internal/http1"
+	"weirhaven/internal/httpgateway/membudget"
 	"weirhaven/internal/httpgateway/metrics"
 )
 
@@ -23,12 +24,23 @@
 	c.closeReason = metrics.PipelineLimit
 }
 
+// gaveWay reports whether the connection was told to give up the memory of its incomplete request.
+func (c *conn) gaveWay() bool {
+	reason, retired := c.server.retirement(c)
+	return retired && reason == metrics.MemoryLimit
+}
+
 // rejectMalformed answers a malformed or incomplete request with an error status, unless the client has disconnected, and
-// closes the connection: after a malformed request the start of the next one is unknown. It returns false.
+// closes the connection: after a malformed request the start of the next one is unknown. One that there is no memory for is shed.
+// It returns false.
 func (c *conn) rejectMalformed(err error) bool {
 	var malformed *http1.Error
 	c.mustClose, c.closeReason = true, metrics.BadRequest
+	c.dropInput()
 	switch {
+	case errors.Is(err, membudget.ErrExhausted), errors.Is(err, os.ErrDeadlineExceeded) && c.gaveWay():
+		c.closeReason = metrics.MemoryLimit
+		return c.shed(metrics.MemoryLimit)
 	case errors.As(err, &malformed):
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.closeReason = metrics.RequestTimeout
--- a/internal/httpgateway/downstream/request.go
+++ b/internal/httpgateway/downstream/request.go
@@ -44,8 +44,9 @@
 	if !ok {
 		return nil, badRequest(400, "units, shard or hosts missing or out of range in IO-Info")
 	}
-	return &engine.Request{Volume: target.volume, Class: target.class, Object: target.object, Trace: head.Get(fieldID),
-		Plan: head.Get(fieldPlan), Timeout: max(time.Duration(timeoutMs)*time.Millisecond, 1), Retry: head.Get(fieldRetry) == "1",
+	// The engine and the scheduler keep the names. A clone does not keep the head with them.
+	return &engine.Request{Volume: strings.Clone(target.volume), Class: s.classes[target.class].Name, Object: strings.Clone(target.object),
+		Trace: strings.Clone(head.Get(fieldID)), Plan: strings.Clone(head.Get(fieldPlan)), Timeout: max(time.Duration(timeoutMs)*time.Millisecond, 1), Retry: head.Get(fieldRetry) == "1",
 		Units: info.units, Shard: info.shard, Gateways: info.gateways, Header: forwardedHead(head)}, nil
 }
 
@@ -95,7 +96,7 @@
 
 // forwardedHead returns the head that is forwarded with each attempt. The remaining time is added when an attempt is sent.
 func forwardedHead(head *http1.Head) []byte {
-	text := make([]byte, 0, 128+len(head.Target))
+	text := make([]byte, 0, head.Size()+len("  HTTP/1.1\r\n"))
 	text = append(append(append(append(text, head.Method...), ' '), head.Target...), " HTTP/1.1\r\n"...)
 	return head.AppendForward(text, fieldTimeout)
 }
--- a/internal/httpgateway/downstream/serve.go
+++ b/internal/httpgateway/downstream/serve.go
@@ -8,6 +8,7 @@
 
 	"weirhaven/internal/engine"
 	"weirhaven/internal/http1"
+	"weirhaven/internal/httpgateway/membudget"
 	"weirhaven/internal/httpgateway/metrics"
 	"weirhaven/internal/httpgateway/socket"
 )
@@ -35,6 +36,9 @@
 
 // readRequest builds a request from its head and reads its body. Once it succeeds a response is pending.
 func (c *conn) readRequest(head *http1.Head) (*engine.Request, error) {
+	if err := c.charge(head.Size() + requestOverhead); err != nil {
+		return nil, err
+	}
 	request, err := c.server.parseRequest(head)
 	if err != nil {
 		return nil, err
@@ -46,6 +50,8 @@
 	if request.Body, err = c.reader.Body(head, maxBody); err != nil {
 		return nil, err
 	}
+	c.charged += cap(request.Body) // charged by the reader
+	c.reader.ReleaseHead()
 	c.pendingID = request.Trace
 	if !c.nextBytesMayBeRequest() {
 		return nil, errTrailingBytes
@@ -56,6 +62,7 @@
 // submit submits a request to the engine and writes its response. It reports whether the connection stays open.
 func (c *conn) submit(request *engine.Request) bool {
 	s, id := c.server, request.Trace
+	c.memory.SetYield(membudget.ToNobody)
 	if !s.admit(c) {
 		c.lastResponse = true
 		return c.shed(metrics.ConnectionLimit)
@@ -106,6 +113,7 @@
 	response := <-c.responses
 	c.server.ids.release(request.Trace, true)
 	defer c.releaseResponseBody()
+	c.releaseRequest()
 	left := max(request.ReceivedAt+request.Timeout-c.server.options.Loop.Now(), 0)
 	c.writeDeadline = time.Now().Add(left + writeTimeout)
 	return c.writeResponse(response)
@@ -153,6 +161,31 @@
 	}
 }
 
+// requestOverhead is the number of bytes that a request holds in the engine and the scheduler beside its head and body.
+const requestOverhead = 1 << 10
+
+// charge charges n bytes to the present request.
+func (c *conn) charge(n int) error {
+	if err := c.memory.Charge(n); err != nil {
+		return err
+	}
+	c.charged += n
+	return nil
+}
+
+// releaseRequest releases what the present request holds.
+func (c *conn) releaseRequest() {
+	c.memory.Release(c.charged)
+	c.charged = 0
+}
+
+// dropInput releases all input of a connection that serves no further request.
+func (c *conn) dropInput() {
+	c.reader.Close()
+	c.pipeline.drop()
+	c.releaseRequest()
+}
+
 // errTrailingBytes reports that the bytes after a body don't start a request, so the body's length was wrong. They might hide
 // a request, so the connection is not used any further.
 var errTrailingBytes = &http1.Error{Status: 400, Reason: "unexpected bytes after the request"}
--- a/internal/httpgateway/downstream/server.go
+++ b/internal/httpgateway/downstream/server.go
@@ -8,8 +8,8 @@
 //     the only place where a connection is closed, checks this.
 //   - The server detects at once that a client disconnects while its request is in progress, even if the client has sent
 //     pipelined requests after it.
-//   - The numbers of connections, of bytes read ahead and of remembered request ids are bounded. A connection with a pending
-//     response is never evicted.
+//   - The numbers of connections, of bytes held for requests and pipelined input, and of remembered request ids are bounded. A
+//     connection with a pending response is never evicted.
 //
 // Each connection is owned by one goroutine, which Shutdown joins. The package has no notion of endpoints.
 package downstream
@@ -22,6 +22,7 @@
 	"time"
 
 	"weirhaven/internal/engine"
+	"weirhaven/internal/httpgateway/membudget"
 	"weirhaven/internal/httpgateway/metrics"
 	"weirhaven/policy"
 )
@@ -42,10 +43,13 @@
 type Options struct {
 	Loop           Loop
 	Settings       policy.Settings
-	MaxConnections int   // limit on connections that have or await a request; extraConnections more may be open
-	ReadAheadBytes int64 // limit on buffered bytes of pipelined requests, over all connections
-	Log            *slog.Logger
-	Recorder       *metrics.Recorder
+	MaxConnections int // limit on connections that have or await a request; extraConnections more may be open
+	// RequestMemory bounds the heads and bodies of requests, from their first byte to their response, and ReadAheadMemory the
+	// pipelined requests behind them, over all connections.
+	RequestMemory, ReadAheadMemory *membudget.Budget
+
+	Log      *slog.Logger
+	Recorder *metrics.Recorder
 }
 
 // Time limits of a connection. Each starts at an event that the client can't repeat to extend it.
@@ -68,7 +72,6 @@
 	ready            atomic.Bool
 	draining         atomic.Bool  // true: every response is the last one on its connection
 	shutdownDeadline atomic.Int64 // time, on the loop's clock, by which every request has its response; 0: no shutdown
-	readAheadFree    atomic.Int64 // unused bytes of Options.ReadAheadBytes
 	tasks            sync.WaitGroup
 
 	connClosed   chan struct{} // signal, with a buffer of one, that a connection was closed
@@ -100,7 +103,6 @@
 func New(options Options) *Server {
 	s := &Server{options: options, classes: map[string]policy.RequestClass{}, plans: map[string]bool{}, conns: map[*conn]bool{},
 		ids: newRequestIDs(), connClosed: make(chan struct{}, 1)}
-	s.readAheadFree.Store(options.ReadAheadBytes)
 	for _, class := range options.Settings.Classes {
 		s.classes[class.Name] = class
 	}
--- a/internal/httpgateway/gateway.go
+++ b/internal/httpgateway/gateway.go
@@ -132,7 +132,7 @@
 
 func (g *Gateway) newServer(shares shares) *downstream.Server {
 	return downstream.New(downstream.Options{Loop: g.loop, Settings: g.Config.Settings, MaxConnections: shares.clientConnections,
-		Log: g.Log, Recorder: g.recorder, ReadAheadBytes: shares.readAheadMemory})
+		Log: g.Log, Recorder: g.recorder, RequestMemory: shares.requests, ReadAheadMemory: shares.readAhead})
 }
 
 // markReadyOnList makes the server report ready once the agent has sent its list, so that the gateway knows of drains that
--- a/internal/httpgateway/limits.go
+++ b/internal/httpgateway/limits.go
@@ -1,13 +1,22 @@
 package httpgateway
 
-import "weirhaven/internal/httpgateway/config"
+import (
+	"weirhaven/internal/httpgateway/config"
+	"weirhaven/internal/httpgateway/membudget"
+)
 
 // Shares of the platform's limits.
 const (
 	reservedDescriptors    = 24   // descriptors for the listener, the watch, files and the Go runtime
 	clientConnectionShare  = 0.55 // fraction of the other descriptors; endpoint connections get the remainder
 	responseMemoryDivisor  = 6    // 1/6 of the memory is for response bodies that are not yet written to clients
-	readAheadMemoryDivisor = 16   // 1/16 of the memory is for buffered pipelined requests
+	requestMemoryDivisor   = 12   // 1/12 of the memory is for the heads and bodies of requests
+	readAheadMemoryDivisor = 32   // 1/32 of the memory is for buffered pipelined requests
+	// connectionMemoryDivisor: 1/6 of the memory is for the client connections themselves.
+	connectionMemoryDivisor = 6
+	// connectionMemory is what a client connection holds without a request: its goroutine's stack, its state and its first buffer,
+	// in bytes.
+	connectionMemory = 10 << 10
 )
 
 // shares holds the parts of the process's limits for the client side and the endpoint side. Their sum is within the limits.
@@ -15,13 +24,19 @@
 	clientConnections   int
 	upstreamConnections int
 	responseMemory      int64 // bytes
-	readAheadMemory     int64 // bytes
+	requests            *membudget.Budget
+	readAhead           *membudget.Budget
 }
 
 func divideLimits(limits config.Limits) shares {
 	usable := limits.Sockets - reservedDescriptors
 	clients := int(float64(usable) * clientConnectionShare)
 	memory := int64(limits.MemoryMB) << 20
-	return shares{clientConnections: clients, upstreamConnections: usable - clients,
-		responseMemory: memory / responseMemoryDivisor, readAheadMemory: memory / readAheadMemoryDivisor}
+	return shares{
+		clientConnections:   min(clients, int(memory/connectionMemoryDivisor/connectionMemory)),
+		upstreamConnections: usable - clients,
+		responseMemory:      memory / responseMemoryDivisor,
+		requests:            membudget.New(memory / requestMemoryDivisor),
+		readAhead:           membudget.New(memory / readAheadMemoryDivisor),
+	}
 }
--- a/internal/httpgateway/metrics/names.go
+++ b/internal/httpgateway/metrics/names.go
@@ -49,6 +49,7 @@
 	QueueFull       Reason = "event-queue-full"
 	ConnectionLimit Reason = "connection-limit"
 	PipelineLimit   Reason = "pipeline-limit"
+	MemoryLimit     Reason = "memory-limit"
 )
 
 // Kind is the kind of a counted event. Its counters are named weirhaven_KIND_total and have a label for the reason.
