Bad clients by the hundred no longer delay the others: turns, held back errors, paced accepts

Connections without a response so far are accepted, read and refused eight at a time, the others wait in the kernel's queue; pipelined requests behind an earlier one are served 16 at a time. What is discarded behind a pipeline is bounded. The time in the accept queue is estimated by its length and the rate of accepts (it was taken for at most 0.3 s).

--- a/internal/httpgateway/downstream/accept.go
+++ b/internal/httpgateway/downstream/accept.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"weirhaven/internal/httpgateway/metrics"
+	"weirhaven/internal/httpgateway/socket"
 )
 
 const (
@@ -15,8 +16,12 @@
 	extraConnections = 6
 	// immediateAccept is the duration from which an accept has blocked, so that the kernel's accept queue was empty.
 	immediateAccept = time.Millisecond
-	// maxAcceptDelay caps the time that a connection is assumed to have waited in the accept queue. The actual time is unknown.
-	maxAcceptDelay = 300 * time.Millisecond
+	// maxUnknownDelay caps the time that a connection is assumed to have waited in the accept queue if the queue's length is unknown.
+	maxUnknownDelay = 300 * time.Millisecond
+	// maxAcceptDelay caps that time if the length is known.
+	maxAcceptDelay = 2 * time.Second
+	// acceptWindow is the time over which the rate of accepts is measured.
+	acceptWindow = 250 * time.Millisecond
 	// acceptRetryInterval is the pause after a failed accept.
 	acceptRetryInterval = 2 * time.Millisecond
 	// descriptorPollInterval is the interval between checks for a free descriptor.
@@ -29,6 +34,7 @@
 func (s *Server) Serve(listener net.Listener) {
 	for {
 		s.awaitDescriptor()
+		s.awaitTurn()
 		startedAt := time.Now()
 		nc, err := listener.Accept()
 		if time.Since(startedAt) >= immediateAccept {
@@ -36,15 +42,28 @@
 		}
 		switch {
 		case errors.Is(err, net.ErrClosed):
+			s.newcomers.end()
 			return
 		case err != nil:
+			s.newcomers.end()
 			s.acceptFailed(err)
 		default:
-			s.open(nc)
+			s.open(listener, nc)
 		}
 	}
 }
 
+// awaitTurn takes the turn of the connection that is accepted next.
+func (s *Server) awaitTurn() {
+	if s.newcomers.tryTake() {
+		return
+	}
+	if s.backlogSince.IsZero() {
+		s.backlogSince = time.Now()
+	}
+	s.newcomers.take()
+}
+
 // acceptFailed counts and logs a failed accept and pauses. It evicts a connection only if this process has no descriptor
 // left; after any other failure an eviction would close a healthy connection without any benefit.
 func (s *Server) acceptFailed(err error) {
@@ -63,12 +82,11 @@
 	time.Sleep(acceptRetryInterval)
 }
 
-// open starts serving a connection.
-func (s *Server) open(nc net.Conn) {
+// open starts serving a connection, which has a turn.
+func (s *Server) open(listener net.Listener, nc net.Conn) {
 	c := newConn(s, nc)
-	if !s.backlogSince.IsZero() {
-		c.acceptDelay = min(time.Since(s.backlogSince), maxAcceptDelay)
-	}
+	c.needsTurn, c.hasTurn = s.newcomers, true
+	c.acceptDelay = s.acceptDelay(listener)
 	s.mu.Lock()
 	s.counts.Accepted++
 	s.conns[c] = true
@@ -80,6 +98,23 @@
 	s.tasks.Go(c.run)
 }
 
+// acceptDelay estimates for how long the connection that was just accepted has waited in the accept queue, by the queue's length and
+// the rate of accepts.
+func (s *Server) acceptDelay(listener net.Listener) time.Duration {
+	if s.backlogSince.IsZero() {
+		s.accepts.reset()
+		return 0
+	}
+	now := time.Now()
+	s.accepts.count(now)
+	delay := now.Sub(s.backlogSince)
+	length, known := socket.AcceptQueue(listener)
+	if !known {
+		return min(delay, maxUnknownDelay)
+	}
+	return min(delay, time.Duration(length+1)*s.accepts.interval(now), maxAcceptDelay)
+}
+
 // awaitDescriptor blocks until one more connection may be opened or the server drains.
 func (s *Server) awaitDescriptor() {
 	for !s.draining.Load() {
--- a/internal/httpgateway/downstream/closing.go
+++ b/internal/httpgateway/downstream/closing.go
@@ -1,7 +1,6 @@
 package downstream
 
 import (
-	"io"
 	"net"
 	"time"
 
@@ -19,9 +18,14 @@
 // the last response. If the socket were closed with unread input, the kernel would send a reset, which destroys a response
 // that the client has not read yet.
 func (c *conn) lingeringClose() {
+	c.endTurn()
+	if c.heldBack && c.retiredFor(metrics.Evicted) {
+		socket.DiscardReceived(c.nc, maxLingerBytes) // a new connection waits for the place; this client has had its time to send
+		return
+	}
 	c.closeWrite()
 	c.server.moveTo(c, lingering, time.Now().Add(c.lingerTime()))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.nc, maxLingerBytes)) // returns when the client closes, or at the deadline
+	socket.Discard(c.nc, maxLingerBytes) // returns when the client closes, or at the deadline
 }
 
 // awaitFirstRequest waits for firstRequestGrace on a retired connection that has had no request yet. It reports whether the
@@ -61,13 +65,19 @@
 	}
 }
 
+// retiredFor reports whether the connection is retired for a reason.
+func (c *conn) retiredFor(reason metrics.Reason) bool {
+	actual, retired := c.server.retirement(c)
+	return retired && actual == reason
+}
+
 // lingerTime returns how long the connection may linger: less than lingerTimeout during shutdown or after an eviction.
 func (c *conn) lingerTime() time.Duration {
 	linger := lingerTimeout
 	if deadline := time.Duration(c.server.shutdownDeadline.Load()); deadline > 0 {
 		linger = min(linger, max(deadline-c.server.options.Loop.Now(), 0))
 	}
-	if reason, retired := c.server.retirement(c); retired && reason == metrics.Evicted {
+	if c.retiredFor(metrics.Evicted) {
 		linger = min(linger, minLingering)
 	}
 	return linger
--- a/internal/httpgateway/downstream/conn.go
+++ b/internal/httpgateway/downstream/conn.go
@@ -26,10 +26,12 @@
 	pipeline  *pipelineBuffer
 	reader    *http1.Reader
 	responses chan engine.Response // buffer of one, so that the loop never blocks on it
+	// retirements signals, with a buffer of one, that the connection was retired.
+	retirements chan struct{}
 
 	requestDeadline time.Time     // time by which the request being read must be complete; zero: none is being read
 	writeDeadline   time.Time     // time by which the response must be written; zero: writeTimeout from now
-	acceptDelay     time.Duration // upper bound of the time that the connection waited in the accept queue
+	acceptDelay     time.Duration // estimate of the time that the connection waited in the accept queue
 	mustClose       bool          // true: the client requested the close, or its input is malformed
 	lastResponse    bool          // true: the connection closes after the next response
 	inEngine        bool          // true: a submitted request has no response yet
@@ -39,7 +41,11 @@
 	charged     int             // bytes of memory that the present request holds, beside what reader holds
 	pendingID   string          // id of the request whose response is pending; empty: none
 	request     *engine.Request // submitted request that is neither answered nor canceled
-	clientGone  bool            // true: the client has disconnected
+	proven      bool            // true: the engine has served a request of the connection
+	needsTurn   *turns          // what limits the work on the present request; nil: nothing
+	hasTurn     bool
+	heldBack    bool // true: an error was held back
+	clientGone  bool // true: the client has disconnected
 	closeReason metrics.Reason
 
 	// Guarded by Server.mu.
@@ -58,10 +64,10 @@
 var pastDeadline = time.Unix(1, 0)
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, responses: make(chan engine.Response, 1), requestDeadline: time.Now().Add(requestTimeout)}
+	c := &conn{server: s, nc: nc, responses: make(chan engine.Response, 1), retirements: make(chan struct{}, 1), requestDeadline: time.Now().Add(requestTimeout)}
 	c.memory = s.options.RequestMemory.Open(func() { s.giveWay(c) })
 	c.pipeline = &pipelineBuffer{source: c, now: s.options.Loop.Now, memory: s.options.ReadAheadMemory.Open(nil)}
-	c.reader = http1.NewReaderWithMemory(c.pipeline, c.memory)
+	c.reader = http1.NewReaderWithMemory(c.pipeline, requestMemory{c})
 	return c
 }
 
@@ -73,9 +79,11 @@
 
 // serveNext waits for a request and serves it. It reports whether the connection stays open.
 func (c *conn) serveNext() bool {
+	follows := c.hasPipelined()
 	if err := c.reader.Await(); err != nil && !c.handleAwaitError(err) {
 		return false
 	}
+	c.beginTurn(follows)
 	arrivedAt := c.pipeline.arrivalTime(c.reader.Buffered()) - c.acceptDelay
 	c.acceptDelay = 0
 	c.startRequestTimeout()
@@ -83,6 +91,7 @@
 		return false
 	}
 	c.requestDeadline = time.Time{}
+	c.endTurn()
 	c.memory.SetYield(membudget.ToNobody)
 	c.server.moveTo(c, idle, time.Now().Add(idleTimeout))
 	return true
@@ -127,6 +136,9 @@
 // Read reads from the socket. It returns a deadline error only if the receive buffer is empty. Otherwise a request that
 // arrived just as its connection was evicted or the server shut down would be answered by a reset.
 func (c *conn) Read(p []byte) (int, error) {
+	if !c.inEngine && c.needsTurn != nil {
+		c.awaitTurnToRead()
+	}
 	n, err := c.nc.Read(p)
 	if n > 0 || c.inEngine || !errors.Is(err, os.ErrDeadlineExceeded) || socket.Peek(c.nc) == socket.Empty {
 		return n, err
@@ -142,7 +154,8 @@
 	if cause := recover(); cause != nil {
 		c.handlePanic(cause)
 	}
-	_ = c.nc.Close() // first: bytes that arrive between the last check of the receive buffer and here are answered by a reset
+	c.endTurn()
+	_ = c.nc.Close() // before the checks: bytes that arrive between the last check of the receive buffer and here are answered by a reset
 	c.checkNoPendingResponse()
 	c.server.options.Recorder.Count(metrics.Closed, c.closeReason)
 	c.server.options.Log.Debug("client connection closed", "client", c.nc.RemoteAddr().String(), "reason", string(c.closeReason), "request", c.pendingID)
--- a/internal/httpgateway/downstream/connstate.go
+++ b/internal/httpgateway/downstream/connstate.go
@@ -12,6 +12,7 @@
 	fresh                           // no request so far
 	idle                            // between two requests
 	reading                         // part of a request was read
+	penalized                       // the error for its request is held back
 	connStateCount                  // number of states
 )
 
--- a/internal/httpgateway/downstream/eviction.go
+++ b/internal/httpgateway/downstream/eviction.go
@@ -20,12 +20,14 @@
 
 // evictionOrder is the order in which connections are evicted. Each step selects the connection that has been in the state
 // for longest, if that is at least minAge.
-var evictionOrder = []struct {
-	state  connState
-	minAge time.Duration
-}{{lingering, minLingering}, {idle, longIdle}, {fresh, longFresh}, {reading, longReading},
+var evictionOrder = []evictionStep{{lingering, minLingering}, {penalized, 0}, {idle, longIdle}, {fresh, longFresh}, {reading, longReading},
 	{idle, 0}, {fresh, minFresh}, {reading, minReading}}
 
+type evictionStep struct {
+	state  connState
+	minAge time.Duration // for penalized, Server.penaltyAge applies
+}
+
 const (
 	// lingerSlots is the number of retired connections up to which an evicted connection may linger without ending the
 	// lingering of another one.
@@ -44,7 +46,10 @@
 			continue
 		}
 		c := oldest.Value.(*conn)
-		if time.Since(c.stateSince) < s.minAge(step.minAge) {
+		if step.state != penalized && step.minAge < longFresh && step.state != lingering && s.byState[penalized].Len() > 0 {
+			return // a new connection waits rather than replace one of a client that was not refused
+		}
+		if time.Since(c.stateSince) < s.minAge(step) {
 			continue
 		}
 		s.counts.Evicted++
@@ -53,9 +58,13 @@
 	}
 }
 
-// minAge returns the age from which a connection may be evicted: usual, or backlogMinAge if that is less and connections have
+// minAge returns the age from which a connection may be evicted: the step's, or backlogMinAge if that is less and connections have
 // been waiting in the accept queue for backlogTolerance.
-func (s *Server) minAge(usual time.Duration) time.Duration {
+func (s *Server) minAge(step evictionStep) time.Duration {
+	if step.state == penalized {
+		return s.penaltyAge
+	}
+	usual := step.minAge
 	if !s.backlogSince.IsZero() && time.Since(s.backlogSince) >= backlogTolerance {
 		return min(usual, backlogMinAge)
 	}
@@ -72,6 +81,10 @@
 		s.retiring++
 	}
 	c.retireReason = reason
+	select {
+	case c.retirements <- struct{}{}:
+	default:
+	}
 	_ = c.nc.SetReadDeadline(pastDeadline)
 }
 
@@ -83,14 +96,14 @@
 	s.retire(c, metrics.MemoryLimit)
 }
 
-// retireAll retires the connections in conns that have been in their state for at least minAge. The caller holds mu.
-func (s *Server) retireAll(conns *list.List, minAge time.Duration, reason metrics.Reason) {
+// retireAll retires the connections in conns that have been in their state for at least minAge, for the shutdown. The caller holds mu.
+func (s *Server) retireAll(conns *list.List, minAge time.Duration) {
 	for oldest := conns.Front(); oldest != nil; oldest = conns.Front() {
 		c := oldest.Value.(*conn)
 		if time.Since(c.stateSince) < minAge {
 			return
 		}
-		s.retire(c, reason)
+		s.retire(c, metrics.ShuttingDown)
 	}
 }
 
--- a/internal/httpgateway/downstream/pipeline.go
+++ b/internal/httpgateway/downstream/pipeline.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"weirhaven/internal/http1"
 	"weirhaven/internal/httpgateway/membudget"
 )
 
@@ -21,6 +22,7 @@
 	arrivals  []arrival            // ranges that contain the buffered and the last consumed bytes, oldest first
 	err       error                // permanent error of the connection
 	muchComes bool                 // true: the last read filled its buffer
+	discarded int                  // bytes discarded since the buffer limit was exceeded
 	truncated bool                 // true: the buffer limit was exceeded, and input after buffered was discarded
 	memory    *membudget.Account
 }
@@ -37,9 +39,14 @@
 	smallReadAhead   = 1 << 10   // size of a read in bytes
 	largeReadAhead   = 16 << 10  // size of a read in bytes while much comes
 	largeReadBuffers = 8         // number of buffers for large reads, for all connections together
+	maxDiscarded     = 512 << 10 // input of one connection, in bytes, that is discarded beyond the buffer limit
 	maxArrivals      = 64        // limit on recorded ranges; the last one is overwritten beyond it
 )
 
+// errPipelineFlood reports that a client sends on and on beyond the buffer limit. Its disconnect may hide behind what it has sent, so
+// the request in progress ends, too.
+var errPipelineFlood = &http1.Error{Status: 504, Reason: "far more pipelined input than is buffered"}
+
 var errPipelineLimit = errors.New("pipelined requests exceed the buffer limit")
 
 // Read returns buffered bytes if there are any, else it reads from the connection.
@@ -98,6 +105,10 @@
 	b.received(b.consumed+int64(len(b.buffered)), n, err)
 	if b.truncated = b.truncated || n > 0 && !b.makeRoom(n); !b.truncated {
 		b.buffered = append(b.buffered, piece[:n]...)
+		return err
+	}
+	if b.discarded += n; b.discarded > maxDiscarded {
+		return errPipelineFlood
 	}
 	return err
 }
--- a/internal/httpgateway/downstream/reject.go
+++ b/internal/httpgateway/downstream/reject.go
@@ -19,17 +19,12 @@
 // connection.
 func (c *conn) shedPipelined() {
 	c.mustClose = true
+	c.holdBack()
 	c.server.countShed(metrics.PipelineLimit)
 	c.respond(503, "", nil)
 	c.closeReason = metrics.PipelineLimit
 }
 
-// gaveWay reports whether the connection was told to give up the memory of its incomplete request.
-func (c *conn) gaveWay() bool {
-	reason, retired := c.server.retirement(c)
-	return retired && reason == metrics.MemoryLimit
-}
-
 // rejectMalformed answers a malformed or incomplete request with an error status, unless the client has disconnected, and
 // closes the connection: after a malformed request the start of the next one is unknown. One that there is no memory for is shed.
 // It returns false.
@@ -40,6 +35,7 @@
 	switch {
 	case errors.Is(err, membudget.ErrExhausted), errors.Is(err, os.ErrDeadlineExceeded) && c.gaveWay():
 		c.closeReason = metrics.MemoryLimit
+		c.holdBack()
 		return c.shed(metrics.MemoryLimit)
 	case errors.As(err, &malformed):
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -52,6 +48,7 @@
 		c.clientGone, c.closeReason = true, metrics.ClientClosed
 		return false
 	}
+	c.holdBack()
 	c.server.countBadRequest(malformed.Status, malformed.Reason)
 	return c.respond(malformed.Status, "", nil)
 }
--- a/internal/httpgateway/downstream/serve.go
+++ b/internal/httpgateway/downstream/serve.go
@@ -81,6 +81,9 @@
 		c.clientGone, c.closeReason = true, metrics.ClientClosed
 		return false
 	}
+	if c.needsTurn == s.newcomers {
+		c.endTurn()
+	}
 	c.inEngine = true
 	_ = c.nc.SetReadDeadline(time.Time{}) // no deadline: the engine answers every request in time
 	s.mu.Lock()
@@ -103,7 +106,7 @@
 	c.inEngine = false
 	if err != nil {
 		c.cancelRequest()
-		if errors.Is(err, errTrailingBytes) {
+		if errors.Is(err, errTrailingBytes) || errors.Is(err, errPipelineFlood) {
 			return c.rejectMalformed(err)
 		}
 		c.clientGone, c.closeReason = true, metrics.ClientClosed
@@ -111,6 +114,8 @@
 	}
 	c.request = nil
 	response := <-c.responses
+	c.endTurn()
+	c.proven = c.proven || response.Result == engine.Served
 	c.server.ids.release(request.Trace, true)
 	defer c.releaseResponseBody()
 	c.releaseRequest()
@@ -161,31 +166,6 @@
 	}
 }
 
-// requestOverhead is the number of bytes that a request holds in the engine and the scheduler beside its head and body.
-const requestOverhead = 1 << 10
-
-// charge charges n bytes to the present request.
-func (c *conn) charge(n int) error {
-	if err := c.memory.Charge(n); err != nil {
-		return err
-	}
-	c.charged += n
-	return nil
-}
-
-// releaseRequest releases what the present request holds.
-func (c *conn) releaseRequest() {
-	c.memory.Release(c.charged)
-	c.charged = 0
-}
-
-// dropInput releases all input of a connection that serves no further request.
-func (c *conn) dropInput() {
-	c.reader.Close()
-	c.pipeline.drop()
-	c.releaseRequest()
-}
-
 // errTrailingBytes reports that the bytes after a body don't start a request, so the body's length was wrong. They might hide
 // a request, so the connection is not used any further.
 var errTrailingBytes = &http1.Error{Status: 400, Reason: "unexpected bytes after the request"}
--- a/internal/httpgateway/downstream/server.go
+++ b/internal/httpgateway/downstream/server.go
@@ -48,6 +48,7 @@
 	// pipelined requests behind them, over all connections.
 	RequestMemory, ReadAheadMemory *membudget.Budget
 
+	Cores    float64 // share of the CPU, in cores; above 0
 	Log      *slog.Logger
 	Recorder *metrics.Recorder
 }
@@ -69,6 +70,10 @@
 	plans   map[string]bool
 	ids     *requestIDs
 
+	newcomers, followers *turns
+	errors               *errorRate
+	penaltyAge           time.Duration // age from which a penalized connection may be evicted
+
 	ready            atomic.Bool
 	draining         atomic.Bool  // true: every response is the last one on its connection
 	shutdownDeadline atomic.Int64 // time, on the loop's clock, by which every request has its response; 0: no shutdown
@@ -77,6 +82,8 @@
 	connClosed   chan struct{} // signal, with a buffer of one, that a connection was closed
 	backlogSince time.Time     // time since which connections may be waiting in the accept queue; zero: none; owned by Serve
 
+	accepts acceptRate // owned by Serve
+
 	mu                 sync.Mutex // guards the fields below, and the fields of conn that are marked so
 	conns              map[*conn]bool
 	byState            [connStateCount]list.List // lists of *conn without a request in progress, longest in the state first
@@ -102,7 +109,7 @@
 // New returns a server that accepts no connections before Serve is called.
 func New(options Options) *Server {
 	s := &Server{options: options, classes: map[string]policy.RequestClass{}, plans: map[string]bool{}, conns: map[*conn]bool{},
-		ids: newRequestIDs(), connClosed: make(chan struct{}, 1)}
+		ids: newRequestIDs(), newcomers: newTurns(newcomerTurns), followers: newTurns(followerTurns), errors: newErrorRate(options.Cores), penaltyAge: penaltyEvictionAge(options.MaxConnections, options.Cores), connClosed: make(chan struct{}, 1)}
 	for _, class := range options.Settings.Classes {
 		s.classes[class.Name] = class
 	}
--- a/internal/httpgateway/downstream/shutdown.go
+++ b/internal/httpgateway/downstream/shutdown.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"weirhaven/internal/engine"
-	"weirhaven/internal/httpgateway/metrics"
 )
 
 const shutdownPollInterval = 20 * time.Millisecond
@@ -49,9 +48,10 @@
 func (s *Server) retireWithoutRequest(readingTime time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retireAll(&s.byState[fresh], 0, metrics.ShuttingDown)
-	s.retireAll(&s.byState[idle], 0, metrics.ShuttingDown)
-	s.retireAll(&s.byState[reading], readingTime, metrics.ShuttingDown)
+	s.retireAll(&s.byState[fresh], 0)
+	s.retireAll(&s.byState[idle], 0)
+	s.retireAll(&s.byState[penalized], 0)
+	s.retireAll(&s.byState[reading], readingTime)
 }
 
 // limitToShutdown shortens a request's timeout so that the response is written before the platform kills this process.
--- /dev/null
+++ b/internal/httpgateway/downstream/turns.go
@@ -0,0 +1,85 @@
+package downstream
+
+import "weirhaven/internal/httpgateway/socket"
+
+// turns limits how many connections of one kind work at the same time. Those that wait are served in their order.
+//
+// One part of a core serves all connections of a process. Without a limit the steps of a request that was accepted (to the engine, to
+// the endpoint, back, to the client) each wait behind hundreds of connections that are ready to be read.
+type turns struct{ free chan struct{} }
+
+// Numbers of connections that work at the same time.
+const (
+	// newcomerTurns is for accepting connections that have not had a response from the engine, and for reading and refusing their
+	// requests. Further ones wait in the kernel's accept queue.
+	newcomerTurns = 8
+	// followerTurns is for pipelined requests behind an earlier one, from their reading to the engine's response. Most clients send
+	// one request at a time.
+	followerTurns = 16
+)
+
+func newTurns(count int) *turns {
+	t := &turns{free: make(chan struct{}, count)}
+	for range count {
+		t.free <- struct{}{}
+	}
+	return t
+}
+
+// take waits for a turn.
+func (t *turns) take() { <-t.free }
+
+// tryTake takes a turn if one is free.
+func (t *turns) tryTake() bool {
+	select {
+	case <-t.free:
+		return true
+	default:
+		return false
+	}
+}
+
+// end gives a turn back.
+func (t *turns) end() { t.free <- struct{}{} }
+
+// takeTurn waits for the connection's turn, if its present request needs one.
+func (c *conn) takeTurn() {
+	if c.needsTurn != nil && !c.hasTurn {
+		c.needsTurn.take()
+		c.hasTurn = true
+	}
+}
+
+// endTurn gives the connection's turn back, if it has one.
+func (c *conn) endTurn() {
+	if c.hasTurn {
+		c.needsTurn.end()
+		c.hasTurn = false
+	}
+}
+
+// awaitTurnToRead gives the turn back while there is nothing to read, and takes it again before the read.
+func (c *conn) awaitTurnToRead() {
+	if socket.Peek(c.nc) == socket.Empty {
+		c.endTurn()
+		socket.AwaitReadable(c.nc) // returns early at the read deadline, which the read then reports
+	}
+	c.takeTurn()
+}
+
+// beginTurn takes a turn for the request whose first byte has come. follows is true if the request came behind another one before
+// that had its response.
+func (c *conn) beginTurn(follows bool) {
+	var needed *turns
+	switch {
+	case follows:
+		needed = c.server.followers
+	case !c.proven:
+		needed = c.server.newcomers
+	}
+	if needed != c.needsTurn {
+		c.endTurn()
+		c.needsTurn = needed
+	}
+	c.takeTurn()
+}
--- a/internal/httpgateway/gateway.go
+++ b/internal/httpgateway/gateway.go
@@ -91,7 +91,7 @@
 	if g.Listen != nil {
 		return g.Listen(ctx, g.Config.Listen)
 	}
-	var config net.ListenConfig
+	config := net.ListenConfig{KeepAlive: -1} // the deadlines of requests and idle connections notice a dead client
 	return config.Listen(ctx, "tcp", g.Config.Listen)
 }
 
@@ -132,7 +132,7 @@
 
 func (g *Gateway) newServer(shares shares) *downstream.Server {
 	return downstream.New(downstream.Options{Loop: g.loop, Settings: g.Config.Settings, MaxConnections: shares.clientConnections,
-		Log: g.Log, Recorder: g.recorder, RequestMemory: shares.requests, ReadAheadMemory: shares.readAhead})
+		Cores: g.Config.Limits.Cores, Log: g.Log, Recorder: g.recorder, RequestMemory: shares.requests, ReadAheadMemory: shares.readAhead})
 }
 
 // markReadyOnList makes the server report ready once the agent has sent its list, so that the gateway knows of drains that
--- a/internal/httpgateway/membudget/membudget.go
+++ b/internal/httpgateway/membudget/membudget.go
@@ -30,6 +30,9 @@
 	pollInterval = 10 * time.Millisecond
 	// maxWait is how long a charge waits for the memory of accounts that give way.
 	maxWait = 250 * time.Millisecond
+	// maxWaiting is the number of charges that may wait at the same time. Accounts that hold little have maxWaitingSmall more.
+	maxWaiting      = 8
+	maxWaitingSmall = 16
 	// smallHolding is the number of bytes up to which an account may use the whole budget. What exceeds it leaves a reserve of
 	// 1/reserveDivisor of the budget for the others.
 	smallHolding   = 8 << 10
@@ -110,7 +113,7 @@
 }
 
 // Charge reserves n bytes. If the budget is used up, the account that holds most is told to give way and Charge waits for its memory,
-// for maxWait at most. It returns ErrExhausted if that account is this one, and if no memory came.
+// for maxWait at most. It returns ErrExhausted if that account is this one, if too many charges wait already, and if no memory came.
 func (a *Account) Charge(n int) error {
 	b := a.budget
 	b.mu.Lock()
@@ -118,7 +121,7 @@
 	if a.tryCharge(int64(n)) {
 		return nil
 	}
-	for deadline := time.Now().Add(maxWait); !a.leaving && b.makeRoom(a, int64(n)) && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(maxWait); !a.leaving && b.mayWait(a.held+int64(n)) && b.makeRoom(a, int64(n)) && time.Now().Before(deadline); {
 		b.awaitRelease()
 		if a.tryCharge(int64(n)) {
 			return nil
@@ -145,13 +148,6 @@
 	a.release(int64(n))
 }
 
-// Held returns the bytes that the account holds.
-func (a *Account) Held() int64 {
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	return a.held
-}
-
 // Close returns all bytes of the account. It is not charged afterwards.
 func (a *Account) Close() {
 	a.budget.mu.Lock()
@@ -190,6 +186,14 @@
 	}
 }
 
+// mayWait reports whether a charge may wait by which an account comes to hold held bytes. The caller holds mu.
+func (b *Budget) mayWait(held int64) bool {
+	if held <= smallHolding {
+		return b.waiting < maxWaiting+maxWaitingSmall
+	}
+	return b.waiting < maxWaiting
+}
+
 // makeRoom reports whether memory for n bytes of an account may become free. If what already gives way is not enough, it tells the
 // account that holds most to give way, once that has held it for minYieldAge. The caller holds mu.
 func (b *Budget) makeRoom(a *Account, n int64) bool {
--- a/internal/httpgateway/membudget/membudget_test.go
+++ b/internal/httpgateway/membudget/membudget_test.go
@@ -7,6 +7,13 @@
 	"time"
 )
 
+// fill charges pieces to an account until the budget refuses or the account holds most bytes.
+func fill(a *Account, piece, most int) {
+	for held := 0; held < most && a.TryCharge(piece); held += piece {
+		continue
+	}
+}
+
 // A few peers that hold much must not keep one that wants little from its service.
 func TestLargestGivesWay(t *testing.T) {
 	b := New(100 << 10)
@@ -15,10 +22,8 @@
 	large.SetYield(ToSmaller)
 	other := b.Open(func() { t.Error("the smaller one was told to give way") })
 	other.SetYield(ToSmaller)
-	for n := 0; large.TryCharge(1 << 10); n++ {
-	}
-	for n := 0; other.TryCharge(512) && other.Held() < smallHolding; n++ {
-	}
+	fill(large, 1<<10, int(b.Limit()))
+	fill(other, 512, smallHolding)
 	small := b.Open(nil)
 	if err := small.Charge(20 << 10); err != nil {
 		t.Error(err)
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -35,6 +35,17 @@
 // killDelay returns the time between SIGTERM and SIGKILL, the earliest that the platform allows.
 func (d Deployment) killDelay() time.Duration { return min(d.RequestTimeout, maxKillDelay) + killGrace }
 
+// defaultCores is the share of a core in the configuration of a process whose CPU is not limited.
+const defaultCores = 0.5
+
+// cores returns the share of a core that the configuration tells.
+func (d Deployment) cores() float64 {
+	if d.Cores > 0 {
+		return d.Cores
+	}
+	return defaultCores
+}
+
 // latencyObjective returns the latency objective of every request class.
 func (d Deployment) latencyObjective() time.Duration { return d.RequestTimeout * 2 / 5 }
 
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -95,7 +95,7 @@
 			"cap_slack": plan.Slack, "parts": plan.Weight, "worth_factor": 1})
 	}
 	return json.Marshal(object{"name": p.name(), "listen": p.address, "discovery": p.agent.Address(), "seed": fmt.Sprintf("%016x", 7919*(p.number+1)),
-		"limits": object{"cores": 0.5, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets}, "known": known,
+		"limits": object{"cores": limits.cores(), "memory_mb": limits.MemoryMB, "sockets": limits.Sockets}, "known": known,
 		"settings": object{"balancers": processes, "zone": "a", "discovery": "push", "resolution_us": 2000, "classes": classObjects, "plans": planObjects,
 			"limits": object{"second_copies": false, "cancel": true, "max_attempts": maxAttempts, "connect_timeout_us": micros(250 * time.Millisecond),
 				"conn_idle_us": micros(20 * time.Second), "retry_after": true, "max_retry_after_us": micros(time.Second)},
