A response that its client doesn't read gives way to the others

Responses were charged to a semaphore that nobody gave back while a write was blocked; each was copied again uncharged to be written, and one without a length took the greatest size in advance.

Responses are charged to a membudget as they arrive, with their heads. Bodies over 4 KB are no longer copied to be written, in both directions.

--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -24,9 +24,9 @@
 	Header                []byte        // request header, from the front end for the endpoint's connection
 	Retry                 bool          // the client marked the request as a retry
 	Body                  []byte
-	// Release, if set by a connection to an endpoint, frees the memory of the response's body. The user of the body clears
-	// the field and calls the function when done.
-	Release func()
+	// BodyMemory, if set by a connection to an endpoint, is the memory of the response's body. The user of the body clears the
+	// field and calls Release when done.
+	BodyMemory BodyMemory
 	// Respond is called once with the result, by the Core's owner, unless the client disconnects first. It must not block.
 	Respond func(Response)
 	// ResponseStarted, if not nil, is called by the Core's owner when a streamed response begins. It must not block.
@@ -42,6 +42,15 @@
 	endedAt            atomic.Int64 // end of the request on the engine's clock, in nanoseconds; 0: not ended
 }
 
+// BodyMemory is the memory that a response's body holds. It is safe for concurrent use.
+type BodyMemory interface {
+	// Release frees the memory. The body is not used afterwards.
+	Release()
+	// GiveWay offers the memory to others from now on. stop is called at most once, without blocking, if it is needed; the user of the
+	// body then stops using it and calls Release.
+	GiveWay(stop func())
+}
+
 // End marks the request as ended at now, on the engine's clock: its client has disconnected or has the final response.
 // No attempt may be sent for it afterwards. End is safe for concurrent use; only the first call has an effect. A front
 // end may call it before the Core does, so that connections see the end without waiting for the loop.
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -74,6 +74,20 @@
 	return &Reader{source: source, memory: memory}
 }
 
+// SetMemory makes the reader charge to memory from now on; nil: to none. It releases what the reader has charged so far, except the bodies
+// that it has returned. It is called between two messages.
+func (r *Reader) SetMemory(memory Memory) {
+	if memory == nil {
+		memory = unbounded{}
+	}
+	r.ReleaseHead()
+	r.memory.Release(max(len(r.buffer)-InitialBuffer, 0))
+	if r.Buffered() == 0 && len(r.buffer) > InitialBuffer {
+		r.buffer, r.start, r.end = nil, 0, 0
+	}
+	r.memory = memory
+}
+
 // Close releases what the reader has charged, except the bodies that it has returned. The reader is not used afterwards.
 func (r *Reader) Close() {
 	r.ReleaseHead()
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -13,8 +13,11 @@
 	return append(head, "\r\n"...)
 }
 
-// AppendBody appends the Content-Length field, the end of the head and the body.
-func AppendBody(head, body []byte) []byte {
-	head = strconv.AppendInt(append(head, "Content-Length: "...), int64(len(body)), 10)
-	return append(append(head, "\r\n\r\n"...), body...)
+// AppendLength appends the Content-Length field and the end of the head.
+func AppendLength(head []byte, length int) []byte {
+	head = strconv.AppendInt(append(head, "Content-Length: "...), int64(length), 10)
+	return append(head, "\r\n\r\n"...)
 }
+
+// AppendBody appends the Content-Length field, the end of the head and the body.
+func AppendBody(head, body []byte) []byte { return append(AppendLength(head, len(body)), body...) }
--- a/internal/httpgateway/downstream/conn.go
+++ b/internal/httpgateway/downstream/conn.go
@@ -29,13 +29,13 @@
 	// retirements signals, with a buffer of one, that the connection was retired.
 	retirements chan struct{}
 
-	requestDeadline time.Time     // time by which the request being read must be complete; zero: none is being read
-	writeDeadline   time.Time     // time by which the response must be written; zero: writeTimeout from now
-	acceptDelay     time.Duration // estimate of the time that the connection waited in the accept queue
-	mustClose       bool          // true: the client requested the close, or its input is malformed
-	lastResponse    bool          // true: the connection closes after the next response
-	inEngine        bool          // true: a submitted request has no response yet
-	releaseBody     func()        // releases the response's body; set in the loop before the response is sent on responses
+	requestDeadline time.Time         // time by which the request being read must be complete; zero: none is being read
+	writeDeadline   time.Time         // time by which the response must be written; zero: writeTimeout from now
+	acceptDelay     time.Duration     // estimate of the time that the connection waited in the accept queue
+	mustClose       bool              // true: the client requested the close, or its input is malformed
+	lastResponse    bool              // true: the connection closes after the next response
+	inEngine        bool              // true: a submitted request has no response yet
+	bodyMemory      engine.BodyMemory // memory of the response's body; set in the loop before the response is sent on responses
 
 	// State that finish checks: a request that was read completely gets a response unless its client has disconnected.
 	charged     int             // bytes of memory that the present request holds, beside what reader holds
--- a/internal/httpgateway/downstream/respond.go
+++ b/internal/httpgateway/downstream/respond.go
@@ -56,7 +56,7 @@
 // respond writes the pending response. fields are additional header lines. It reports whether the connection stays open.
 func (c *conn) respond(status int, fields string, body []byte) bool {
 	last := c.isLastResponse()
-	message := make([]byte, 0, 128+len(fields)+len(body))
+	message := make([]byte, 0, 256+len(fields)+min(len(body), maxCopiedBody))
 	message = fmt.Appendf(message, "HTTP/1.1 %d %s\r\n%s", status, statusTexts[status], fields)
 	if last {
 		message = http1.AppendField(message, "Connection", "close")
@@ -66,7 +66,7 @@
 	}
 	_ = c.nc.SetWriteDeadline(c.writeDeadline)
 	c.writeDeadline = time.Time{}
-	if _, err := c.nc.Write(http1.AppendBody(message, body)); err != nil {
+	if err := c.write(message, body); err != nil {
 		c.clientGone, c.closeReason = true, metrics.WriteFailed
 		return false
 	}
@@ -79,6 +79,25 @@
 	return !last
 }
 
+// maxCopiedBody is the size in bytes up to which a body is copied, so that it is written together with its head.
+const maxCopiedBody = 4 << 10
+
+// write writes a response's head and body. While the write is blocked, others may take the memory of the body; the write then fails.
+func (c *conn) write(head, body []byte) error {
+	if c.bodyMemory != nil {
+		c.bodyMemory.GiveWay(func() { _ = c.nc.SetWriteDeadline(pastDeadline) })
+	}
+	if len(body) <= maxCopiedBody {
+		_, err := c.nc.Write(http1.AppendBody(head, body))
+		return err
+	}
+	if _, err := c.nc.Write(http1.AppendLength(head, len(body))); err != nil {
+		return err
+	}
+	_, err := c.nc.Write(body)
+	return err
+}
+
 // isLastResponse reports whether the connection closes after the current response. Pipelined requests that were already read
 // are served first, unless the connection must close.
 func (c *conn) isLastResponse() bool {
--- a/internal/httpgateway/downstream/serve.go
+++ b/internal/httpgateway/downstream/serve.go
@@ -71,7 +71,7 @@
 		return c.rejectMalformed(&http1.Error{Status: 409, Reason: "duplicate request id"})
 	}
 	request.Respond = func(response engine.Response) { // in the loop
-		c.releaseBody, request.Release = request.Release, nil
+		c.bodyMemory, request.BodyMemory = request.BodyMemory, nil
 		_ = c.nc.SetReadDeadline(pastDeadline) // before the send: the receiver of the response sets the next deadline
 		c.responses <- response                // doesn't block: the buffer holds one
 	}
@@ -160,9 +160,9 @@
 
 // releaseResponseBody releases the memory that upstream reserved for the response's body.
 func (c *conn) releaseResponseBody() {
-	if c.releaseBody != nil {
-		c.releaseBody()
-		c.releaseBody = nil
+	if c.bodyMemory != nil {
+		c.bodyMemory.Release()
+		c.bodyMemory = nil
 	}
 }
 
--- a/internal/httpgateway/gateway.go
+++ b/internal/httpgateway/gateway.go
@@ -103,7 +103,7 @@
 	}
 	return upstream.New(upstream.Options{Loop: g.loop, MaxConnections: shares.upstreamConnections, ConnectTimeout: connectTimeout,
 		IdleTimeout: g.Config.EndpointIdleTimeout / 2, Log: g.Log, Recorder: g.recorder, Dial: g.Dial,
-		BeforeWrite: g.BeforeAttemptWrite, ResponseMemory: shares.responseMemory})
+		BeforeWrite: g.BeforeAttemptWrite, ResponseMemory: shares.responses})
 }
 
 // newCore creates the engine with the endpoints from the configuration. Once the engine's loop runs, only the loop uses the
--- a/internal/httpgateway/limits.go
+++ b/internal/httpgateway/limits.go
@@ -3,13 +3,14 @@
 import (
 	"weirhaven/internal/httpgateway/config"
 	"weirhaven/internal/httpgateway/membudget"
+	"weirhaven/internal/httpgateway/upstream"
 )
 
 // Shares of the platform's limits.
 const (
 	reservedDescriptors    = 24   // descriptors for the listener, the watch, files and the Go runtime
 	clientConnectionShare  = 0.55 // fraction of the other descriptors; endpoint connections get the remainder
-	responseMemoryDivisor  = 6    // 1/6 of the memory is for response bodies that are not yet written to clients
+	responseMemoryDivisor  = 6    // 1/6 of the memory is for responses that are read or not yet written to clients
 	requestMemoryDivisor   = 12   // 1/12 of the memory is for the heads and bodies of requests
 	readAheadMemoryDivisor = 32   // 1/32 of the memory is for buffered pipelined requests
 	// connectionMemoryDivisor: 1/6 of the memory is for the client connections themselves.
@@ -23,7 +24,7 @@
 type shares struct {
 	clientConnections   int
 	upstreamConnections int
-	responseMemory      int64 // bytes
+	responses           *membudget.Budget
 	requests            *membudget.Budget
 	readAhead           *membudget.Budget
 }
@@ -35,7 +36,7 @@
 	return shares{
 		clientConnections:   min(clients, int(memory/connectionMemoryDivisor/connectionMemory)),
 		upstreamConnections: usable - clients,
-		responseMemory:      memory / responseMemoryDivisor,
+		responses:           membudget.New(max(memory/responseMemoryDivisor, upstream.MinResponseMemory)),
 		requests:            membudget.New(memory / requestMemoryDivisor),
 		readAhead:           membudget.New(memory / readAheadMemoryDivisor),
 	}
--- a/internal/httpgateway/upstream/pool.go
+++ b/internal/httpgateway/upstream/pool.go
@@ -17,9 +17,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"weirhaven/internal/engine"
+	"weirhaven/internal/httpgateway/membudget"
 	"weirhaven/internal/httpgateway/metrics"
 	"weirhaven/internal/httpgateway/upstream/idle"
 	"weirhaven/internal/httpgateway/upstream/reusedelay"
@@ -38,9 +37,8 @@
 	Loop Loop
 	// MaxConnections is the maximum number of open connections, to all endpoints together.
 	MaxConnections int
-	// ResponseMemory is the maximum size, in bytes, of the response bodies not yet delivered to their clients. The minimum is
-	// MaxResponseBody.
-	ResponseMemory int64
+	// ResponseMemory bounds the responses that are being read or not yet delivered to their clients; nil: MinResponseMemory.
+	ResponseMemory *membudget.Budget
 	// ConnectTimeout is the maximum time that an attempt waits for a connection.
 	ConnectTimeout time.Duration
 	// IdleTimeout is the idle time after which a connection is closed. The pool may learn a shorter one.
@@ -58,6 +56,9 @@
 // several times as much.
 const MaxResponseBody = 1 << 20
 
+// MinResponseMemory is the least size of Options.ResponseMemory in bytes, with which a body of the maximum size can be read.
+const MinResponseMemory = 3 * MaxResponseBody
+
 // Counts are totals since the start, except for Open.
 type Counts struct {
 	Opened      int64 // connections dialed
@@ -72,11 +73,10 @@
 
 // Pool holds the connections to all endpoints. Its methods are safe for concurrent use.
 type Pool struct {
-	options        Options
-	ctx            context.Context
-	cancel         context.CancelFunc
-	tasks          sync.WaitGroup // the connections' goroutines, and reports sent from goroutines of their own
-	responseMemory *semaphore.Weighted
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup // the connections' goroutines, and reports sent from goroutines of their own
 
 	mu                sync.Mutex // guards the fields below and the mutable state of endpoints, connections and attempts
 	endpoints         map[*endpoint]bool
@@ -101,8 +101,11 @@
 	if options.Recorder == nil {
 		options.Recorder = metrics.New(options.Log)
 	}
+	if options.ResponseMemory == nil {
+		options.ResponseMemory = membudget.New(MinResponseMemory)
+	}
 	p := &Pool{options: options, endpoints: map[*endpoint]bool{}, idleLimit: idle.New(options.IdleTimeout),
-		reuseDelay: reusedelay.New(), responseMemory: semaphore.NewWeighted(max(options.ResponseMemory, MaxResponseBody))}
+		reuseDelay: reusedelay.New()}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
--- a/internal/httpgateway/upstream/report.go
+++ b/internal/httpgateway/upstream/report.go
@@ -15,9 +15,8 @@
 	if duplicate {
 		p.options.Recorder.RecordViolation(metrics.OneOutcome, a.request.Trace, "an attempt was reported twice")
 	}
-	release := func() { p.responseMemory.Release(a.reservedBytes) }
 	if !current {
-		release()
+		a.memory.Release()
 		return
 	}
 	outcome := report.Outcome.String()
@@ -25,15 +24,15 @@
 	p.options.Log.Debug("attempt ended", "request", a.request.Trace, "endpoint", e.name, "outcome", outcome, "started", a.started)
 	report.Endpoint, report.ID = e.name, a.id
 	posted := p.options.Loop.Post(func(core *engine.Core) {
-		a.request.Release = release
+		a.request.BodyMemory = &a.memory
 		core.AttemptEnded(report)
-		if a.request.Release != nil { // no request took the body over
-			a.request.Release = nil
-			release()
+		if a.request.BodyMemory != nil { // no request took the body over
+			a.request.BodyMemory = nil
+			a.memory.Release()
 		}
 	})
 	if !posted {
-		release()
+		a.memory.Release()
 	}
 }
 
--- a/internal/httpgateway/upstream/response.go
+++ b/internal/httpgateway/upstream/response.go
@@ -11,26 +11,19 @@
 	"weirhaven/policy"
 )
 
-// readResponse reads the response to the attempt that was sent. It reads the body only after it has reserved memory for it:
-// endpoints may together send more than the limit on response memory.
+// readResponse reads the response to the attempt that was sent. Its head and its body are charged to the response memory before they
+// are allocated: endpoints may together send more than the limit. The body stays charged.
 func (c *conn) readResponse(a *attempt) (*http1.Head, []byte, error) {
 	if err := c.reader.Await(); err != nil {
 		return nil, nil, err
 	}
+	a.memory.open(c.endpoint.pool.options.ResponseMemory)
+	c.reader.SetMemory(readerMemory{a.ctx, a.memory.account})
+	defer c.reader.SetMemory(nil)
 	head, err := c.reader.Response()
 	if err != nil {
 		return nil, nil, err
 	}
-	reserve := head.Length
-	if reserve < 0 { // no length given: known only at the end of the body
-		reserve = MaxResponseBody
-	}
-	if reserve > 0 && reserve <= MaxResponseBody { // otherwise there is no body, or it is rejected as too large
-		if err := c.endpoint.pool.responseMemory.Acquire(a.ctx, reserve); err != nil {
-			return nil, nil, err
-		}
-		a.reservedBytes = reserve
-	}
 	body, err := c.reader.Body(head, MaxResponseBody)
 	return head, body, err
 }
--- a/internal/httpgateway/upstream/send.go
+++ b/internal/httpgateway/upstream/send.go
@@ -34,7 +34,7 @@
 	for {
 		encodedAt := now()
 		remaining := a.deadline - encodedAt
-		message := a.encode(remaining)
+		head, body := a.encode(remaining)
 		_ = c.nc.SetDeadline(time.Now().Add(remaining + writeOverrun)) // a broken connection fails the write
 		if !c.start(a) {
 			return false, false, nil
@@ -47,12 +47,22 @@
 			beforeWrite()
 			startedAt = now()
 		}
-		n, err := c.nc.Write(message)
+		err := c.write(head, body)
 		c.checkSend(a, remaining, startedAt)
-		return true, n >= len(message), err
+		a.body = nil
+		return true, err == nil, err
 	}
 }
 
+// write writes an attempt's head and body.
+func (c *conn) write(head, body []byte) error {
+	if _, err := c.nc.Write(head); err != nil || len(body) == 0 {
+		return err
+	}
+	_, err := c.nc.Write(body)
+	return err
+}
+
 // start reports whether the attempt may be sent now, and marks it as started if so.
 func (c *conn) start(a *attempt) bool {
 	p := c.endpoint.pool
