A request id runs once: ids are kept as hashes, and none is forgotten early

The ids were kept as text of up to 64 bytes, about 10 MB at the bound whatever the limit on memory.

Ids are kept as 64-bit hashes in two generations whose size comes from memory_mb. A generation is dropped only when its last id is ten seconds old, and otherwise only when it is full: at 200 requests a second and 32 MB after some 100 s. When there is no space a new id is refused with 503.

--- a/internal/httpgateway/downstream/conn_test.go
+++ b/internal/httpgateway/downstream/conn_test.go
@@ -31,7 +31,7 @@
 	}
 	t.Cleanup(func() { client.Close(); nc.Close() })
 	log := slog.New(slog.DiscardHandler)
-	return newConn(New(Options{Loop: engine.NewLoop(1), MaxConnections: 1, Cores: 1, RequestMemory: membudget.New(1 << 20), ReadAheadMemory: membudget.New(1 << 20), Log: log, Recorder: metrics.New(log)}), nc), client
+	return newConn(New(Options{Loop: engine.NewLoop(1), MaxConnections: 1, Cores: 1, IDMemory: 1 << 20, RequestMemory: membudget.New(1 << 20), ReadAheadMemory: membudget.New(1 << 20), Log: log, Recorder: metrics.New(log)}), nc), client
 }
 
 // A request arrives just as its connection is evicted or the server shuts down, so the read deadline passes with bytes in the
--- a/internal/httpgateway/downstream/serve.go
+++ b/internal/httpgateway/downstream/serve.go
@@ -67,7 +67,10 @@
 		c.lastResponse = true
 		return c.shed(metrics.ConnectionLimit)
 	}
-	if !s.ids.claim(id) {
+	switch err := s.ids.claim(id); {
+	case errors.Is(err, errTooManyIDs):
+		return c.shed(metrics.IDLimit)
+	case err != nil:
 		return c.rejectMalformed(&http1.Error{Status: 409, Reason: "duplicate request id"})
 	}
 	request.Respond = func(response engine.Response) { // in the loop
--- a/internal/httpgateway/downstream/server.go
+++ b/internal/httpgateway/downstream/server.go
@@ -47,6 +47,7 @@
 	// RequestMemory bounds the heads and bodies of requests, from their first byte to their response, and ReadAheadMemory the
 	// pipelined requests behind them, over all connections.
 	RequestMemory, ReadAheadMemory *membudget.Budget
+	IDMemory                       int64 // bytes for the ids of requests that have ended
 
 	Cores    float64 // share of the CPU, in cores; above 0
 	Log      *slog.Logger
@@ -109,7 +110,7 @@
 // New returns a server that accepts no connections before Serve is called.
 func New(options Options) *Server {
 	s := &Server{options: options, classes: map[string]policy.RequestClass{}, plans: map[string]bool{}, conns: map[*conn]bool{},
-		ids: newRequestIDs(), newcomers: newTurns(newcomerTurns), followers: newTurns(followerTurns), errors: newErrorRate(options.Cores), penaltyAge: penaltyEvictionAge(options.MaxConnections, options.Cores), connClosed: make(chan struct{}, 1)}
+		ids: newRequestIDs(options.IDMemory), newcomers: newTurns(newcomerTurns), followers: newTurns(followerTurns), errors: newErrorRate(options.Cores), penaltyAge: penaltyEvictionAge(options.MaxConnections, options.Cores), connClosed: make(chan struct{}, 1)}
 	for _, class := range options.Settings.Classes {
 		s.classes[class.Name] = class
 	}
--- a/internal/httpgateway/gateway.go
+++ b/internal/httpgateway/gateway.go
@@ -132,7 +132,7 @@
 
 func (g *Gateway) newServer(shares shares) *downstream.Server {
 	return downstream.New(downstream.Options{Loop: g.loop, Settings: g.Config.Settings, MaxConnections: shares.clientConnections,
-		Cores: g.Config.Limits.Cores, Log: g.Log, Recorder: g.recorder, RequestMemory: shares.requests, ReadAheadMemory: shares.readAhead})
+		Cores: g.Config.Limits.Cores, Log: g.Log, Recorder: g.recorder, RequestMemory: shares.requests, IDMemory: shares.idMemory, ReadAheadMemory: shares.readAhead})
 }
 
 // markReadyOnList makes the server report ready once the agent has sent its list, so that the gateway knows of drains that
--- a/internal/httpgateway/limits.go
+++ b/internal/httpgateway/limits.go
@@ -13,6 +13,7 @@
 	responseMemoryDivisor  = 6    // 1/6 of the memory is for responses that are read or not yet written to clients
 	requestMemoryDivisor   = 12   // 1/12 of the memory is for the heads and bodies of requests
 	readAheadMemoryDivisor = 32   // 1/32 of the memory is for buffered pipelined requests
+	idMemoryDivisor        = 32   // 1/32 of the memory is for the ids of requests that have ended
 	// connectionMemoryDivisor: 1/6 of the memory is for the client connections themselves.
 	connectionMemoryDivisor = 6
 	// connectionMemory is what a client connection holds without a request: its goroutine's stack, its state and its first buffer,
@@ -27,6 +28,7 @@
 	responses           *membudget.Budget
 	requests            *membudget.Budget
 	readAhead           *membudget.Budget
+	idMemory            int64 // bytes
 }
 
 func divideLimits(limits config.Limits) shares {
@@ -39,5 +41,6 @@
 		responses:           membudget.New(max(memory/responseMemoryDivisor, upstream.MinResponseMemory)),
 		requests:            membudget.New(memory / requestMemoryDivisor),
 		readAhead:           membudget.New(memory / readAheadMemoryDivisor),
+		idMemory:            memory / idMemoryDivisor,
 	}
 }
--- a/internal/httpgateway/metrics/names.go
+++ b/internal/httpgateway/metrics/names.go
@@ -50,6 +50,7 @@
 	ConnectionLimit Reason = "connection-limit"
 	PipelineLimit   Reason = "pipeline-limit"
 	MemoryLimit     Reason = "memory-limit"
+	IDLimit         Reason = "request-id-limit"
 )
 
 // Kind is the kind of a counted event. Its counters are named weirhaven_KIND_total and have a label for the reason.
