Volumes that clients name are forgotten when idle, and bounded by the memory

The engine forgets a volume that had no request for 30 s, and the one idle for longest when there are as many as 1/32 of the memory holds. The scheduler decides whether it may go (ForgetVolume): not with requests, nor before its bucket has filled again. Records of given up requests are bounded.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"container/list"
 	"math/rand"
 	"time"
 
@@ -39,6 +40,9 @@
 	// OnOverlap, if not nil, is called with the trace of a request when one of its attempts begins while another is in
 	// flight although the settings forbid hedging. Set it before the first event.
 	OnOverlap func(trace string)
+	// MaxVolumes bounds the volumes that are kept where each request names its own plan; 0: defaultMaxVolumes. Set it before the
+	// first event.
+	MaxVolumes int
 
 	scheduler          Scheduler
 	outbound           Outbound
@@ -55,10 +59,11 @@
 	deferred []func() // effects of the scheduler's own calls; run after the scheduler has returned
 	rng      *rand.Rand
 
-	lastID   uint64 // last ID given out; requests, attempts and health checks share one sequence
-	requests map[int64]*openRequest
-	attempts map[uint64]*attempt
-	volumes  map[string]*volumeEntry
+	lastID      uint64 // last ID given out; requests, attempts and health checks share one sequence
+	requests    map[int64]*openRequest
+	attempts    map[uint64]*attempt
+	volumes     map[string]*volumeEntry
+	idleVolumes list.List // *volumeEntry without a request, idle for longest first
 
 	endpoints          map[string]*endpoint
 	fleet              *endpointstate.Fleet
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -246,6 +246,7 @@
 	c.fleet.Tick(c.now)
 	c.requestGreetings()
 	c.applyEndpointChanges()
+	c.forgetIdleVolumes()
 	c.schedule(endpointTickInterval, timer{fire: c.tickEndpoints})
 }
 
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -92,6 +92,7 @@
 // openRequest is a request from Submit until it has a result and no attempt in flight.
 type openRequest struct {
 	policy.Request  // the scheduler's view of it
+	volume          *volumeEntry
 	request         *Request
 	deadline        time.Duration
 	inFlight        []*attempt
@@ -102,12 +103,6 @@
 	record          *RequestRecord // nil: not observed, or already passed to the observer
 }
 
-// volumeEntry is a volume's state, made when its first request arrives.
-type volumeEntry struct {
-	policy.Volume
-	gateways int
-}
-
 // volumeUse is the volume of a request and its parameters.
 type volumeUse struct {
 	key      string // key in Core.volumes
@@ -116,7 +111,7 @@
 }
 
 // Submit passes a request to the scheduler. A request with an unknown volume or class fails immediately, and so does one
-// that the scheduler refuses. A request whose client has already disconnected is dropped.
+// that the scheduler refuses. One is rejected if there are too many volumes in use. A request whose client has already disconnected is dropped.
 func (c *Core) Submit(request *Request) {
 	if request.clientDisconnected {
 		return
@@ -131,7 +126,12 @@
 		request.Respond(Response{Result: Failed, Reason: err.Error()})
 		return
 	}
-	open := c.open(request, use, timeout)
+	volume := c.useVolume(use)
+	if volume == nil {
+		request.Respond(Response{Result: Rejected})
+		return
+	}
+	open := c.open(request, use, volume, timeout)
 	arrival := policy.RequestArrival{
 		Class:    request.Class,
 		Plan:     use.plan,
@@ -174,30 +174,16 @@
 	return timeout, nil
 }
 
-// volume returns a request's volume, and notifies the scheduler if the number of gateways that use it has changed.
-func (c *Core) volume(use volumeUse) *policy.Volume {
-	entry := c.volumes[use.key]
-	if entry == nil {
-		entry = &volumeEntry{gateways: use.gateways}
-		c.volumes[use.key] = entry
-	}
-	if entry.gateways != use.gateways {
-		entry.gateways = use.gateways
-		c.scheduler.SetVolumeGateways(&entry.Volume, use.gateways)
-	}
-	return &entry.Volume
-}
-
 // open makes the state of a request before it goes to the scheduler.
-func (c *Core) open(request *Request, use volumeUse, timeout time.Duration) *openRequest {
-	volume := c.volume(use)
+func (c *Core) open(request *Request, use volumeUse, volume *volumeEntry, timeout time.Duration) *openRequest {
 	c.lastID++
 	receivedAt := c.now
 	if request.ReceivedAt > 0 {
 		receivedAt = min(receivedAt, request.ReceivedAt)
 	}
 	open := &openRequest{
-		Request:  policy.Request{ID: int64(c.lastID), Volume: volume},
+		Request:  policy.Request{ID: int64(c.lastID), Volume: &volume.Volume},
+		volume:   volume,
 		request:  request,
 		deadline: receivedAt + timeout,
 		record:   c.newRecord(request, use.plan, timeout),
@@ -256,6 +242,7 @@
 		return
 	}
 	delete(c.requests, open.ID)
+	c.leaveVolume(open.volume)
 	if open.record != nil {
 		c.observer.RequestEnded(open.record)
 		open.record = nil
--- a/internal/engine/runtime.go
+++ b/internal/engine/runtime.go
@@ -21,6 +21,7 @@
 	GossipReceived(sender int, message []byte)
 	SetGateways(serving, slowStartShares int)
 	SetVolumeGateways(volume *policy.Volume, gateways int)
+	ForgetVolume(volume *policy.Volume) bool
 }
 
 // schedulerRuntime implements policy.Runtime on a Core.
--- a/internal/fake/direct/direct.go
+++ b/internal/fake/direct/direct.go
@@ -76,6 +76,9 @@
 	return true
 }
 
+// ForgetVolume implements engine.Scheduler.
+func (s *scheduler) ForgetVolume(*policy.Volume) bool { return true }
+
 // BeginEndpointList implements engine.Scheduler.
 func (s *scheduler) BeginEndpointList(complete bool) {
 	if complete {
--- a/internal/httpgateway/gateway.go
+++ b/internal/httpgateway/gateway.go
@@ -57,7 +57,7 @@
 	g.loop = engine.NewLoop(eventQueueLength)
 	g.recorder = metrics.New(g.Log)
 	g.pool = g.newPool(shares)
-	core, startTimes := g.newCore()
+	core, startTimes := g.newCore(shares)
 
 	running, stopAll := context.WithCancel(context.Background())
 	defer stopAll()
@@ -108,8 +108,9 @@
 
 // newCore creates the engine with the endpoints from the configuration. Once the engine's loop runs, only the loop uses the
 // returned start times.
-func (g *Gateway) newCore() (*engine.Core, *starttimes.StartTimes) {
+func (g *Gateway) newCore(shares shares) (*engine.Core, *starttimes.StartTimes) {
 	core := engine.New(g.Config.Settings, endpointstate.Rules{}, g.NewScheduler, outbound{g}, nil, healthCheckTimeout, g.loop.Now())
+	core.MaxVolumes = shares.volumes
 	core.OnOverlap = func(request string) {
 		g.recorder.RecordViolation(metrics.OneAttemptInFlight, request, "an attempt began while another one was in flight")
 	}
--- a/internal/httpgateway/limits.go
+++ b/internal/httpgateway/limits.go
@@ -1,6 +1,7 @@
 package httpgateway
 
 import (
+	"weirhaven/internal/engine"
 	"weirhaven/internal/httpgateway/config"
 	"weirhaven/internal/httpgateway/membudget"
 	"weirhaven/internal/httpgateway/upstream"
@@ -14,6 +15,7 @@
 	requestMemoryDivisor   = 12   // 1/12 of the memory is for the heads and bodies of requests
 	readAheadMemoryDivisor = 32   // 1/32 of the memory is for buffered pipelined requests
 	idMemoryDivisor        = 32   // 1/32 of the memory is for the ids of requests that have ended
+	volumeMemoryDivisor    = 32   // 1/32 of the memory is for the state of volumes
 	// connectionMemoryDivisor: 1/6 of the memory is for the client connections themselves.
 	connectionMemoryDivisor = 6
 	// connectionMemory is what a client connection holds without a request: its goroutine's stack, its state and its first buffer,
@@ -29,6 +31,7 @@
 	requests            *membudget.Budget
 	readAhead           *membudget.Budget
 	idMemory            int64 // bytes
+	volumes             int   // number of volumes whose state is kept
 }
 
 func divideLimits(limits config.Limits) shares {
@@ -42,5 +45,6 @@
 		requests:            membudget.New(memory / requestMemoryDivisor),
 		readAhead:           membudget.New(memory / readAheadMemoryDivisor),
 		idMemory:            memory / idMemoryDivisor,
+		volumes:             int(memory / volumeMemoryDivisor / engine.VolumeMemory),
 	}
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -139,8 +139,14 @@
 	units  float64
 }
 
+// maxGivenUp bounds the records of requests that were given up: clients name the volumes and objects in them.
+const maxGivenUp = 4096
+
 // recordGivenUp records when a request that ends without the requested response was first received, for matchClientRetry.
 func (s *Scheduler) recordGivenUp(r *Request) {
+	if len(s.givenUp) >= maxGivenUp && s.givenUp[r.fingerprint] == nil {
+		return
+	}
 	s.givenUp[r.fingerprint] = append(s.givenUp[r.fingerprint], r.firstReceivedAt)
 }
 
--- a/policy/volume.go
+++ b/policy/volume.go
@@ -54,6 +54,37 @@
 	s.volumes = append(s.volumes, v)
 }
 
+// ForgetVolume deletes the state of a volume and reports true, unless the volume has requests, or its rate limit has not recovered yet:
+// a new bucket would let it exceed the limit. The gateway drops the volume if it was deleted.
+func (s *Scheduler) ForgetVolume(v *Volume) bool {
+	if v.plan == nil {
+		return true
+	}
+	if v.plan.Limit > 0 && v.limit.refill(s.runtime.Now()) < v.plan.InitialBurst/v.gateways {
+		return false
+	}
+	for _, queue := range v.queues {
+		if len(queue.waiting) > 0 || queue.outstandingUnits > 0 {
+			return false
+		}
+	}
+	for _, queue := range v.queues {
+		s.removeQueue(queue)
+	}
+	s.volumes = without(s.volumes, v)
+	v.plan, v.queues = nil, nil
+	return true
+}
+
+// removeQueue removes a queue from its shard, and the shard if nothing is left of it: clients name shards, too.
+func (s *Scheduler) removeQueue(queue *volumeQueue) {
+	at := s.shards[queue.shard]
+	at.queues = without(at.queues, queue)
+	if len(at.queues) == 0 && len(at.endpoints) == 0 {
+		delete(s.shards, queue.shard)
+	}
+}
+
 // SetVolumeGateways sets the number of gateways that serve a volume. The volume's limit is divided anew, in such a way that all
 // gateways together stay within it during the change.
 func (s *Scheduler) SetVolumeGateways(v *Volume, gateways int) {
