A client's close is noticed behind unread input before its next request begins

Before a request of a connection with unread input is submitted, and before an attempt is written, the state of the TCP connection is asked, where the system tells it. Half-closed clients count as gone, as before.

TestCloseBehindUnreadInput shows the gap itself: the look into the buffer says Unread there.

--- a/internal/httpgateway/downstream/conn_test.go
+++ b/internal/httpgateway/downstream/conn_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,3 +83,21 @@
 		})
 	}
 }
+
+// A client that closes its connection behind much unread input has left, although the input is there to be read.
+func TestCloseBehindUnreadInput(t *testing.T) {
+	c, client := newTestConn(t)
+	io.WriteString(client, strings.Repeat("GET / HTTP/1.1\r\n", 1000))
+	if c.clientClosed() {
+		t.Error("the client is there")
+	}
+	client.Close()
+	for deadline := time.Now().Add(2 * time.Second); !c.clientClosed(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the close was not noticed")
+		}
+	}
+	if socket.Peek(c.nc) != socket.Unread {
+		t.Error("nothing is left unread")
+	}
+}
--- a/internal/httpgateway/downstream/serve.go
+++ b/internal/httpgateway/downstream/serve.go
@@ -78,8 +78,8 @@
 		_ = c.nc.SetReadDeadline(pastDeadline) // before the send: the receiver of the response sets the next deadline
 		c.responses <- response                // doesn't block: the buffer holds one
 	}
-	request.ClientClosed = func() bool { return socket.Peek(c.nc) == socket.Closed }
-	if c.pipeline.err != nil { // the client disconnected after it had sent this request
+	request.ClientClosed = c.clientClosed
+	if c.pipeline.err != nil || c.clientClosed() { // the client disconnected after it had sent this request
 		s.ids.release(id, false)
 		c.clientGone, c.closeReason = true, metrics.ClientClosed
 		return false
@@ -102,6 +102,18 @@
 	return c.complete(request)
 }
 
+// clientClosed reports whether the client has closed its connection, also behind bytes that were not read yet.
+func (c *conn) clientClosed() bool {
+	switch socket.Peek(c.nc) {
+	case socket.Closed:
+		return true
+	case socket.Unread:
+		established, known := socket.Established(c.nc)
+		return c.stateKnown && known && !established
+	}
+	return false
+}
+
 // complete waits for the response to a submitted request and writes it. It cancels the request if the client disconnects or
 // sends invalid bytes.
 func (c *conn) complete(request *engine.Request) bool {
