A greeting that can't be read no longer ends the process

The name is taken once the greeting was read. The other caller that keeps a greeting (endpointconn) returns at the error.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -41,7 +41,9 @@
 	reader := lineproto.NewConnReader(c.conn, limits.MaxBody, limits.IdleTimeout, limits.StallTimeout)
 	hello, err := lineproto.Greet(c.conn, reader, lineproto.RoleGateway, c.gateway.conf.Name, limits.StallTimeout, nil)
 	c.sender.Start(c.conn)
+	client := "" // without a name before its greeting
 	if err == nil {
+		client = hello.Get(lineproto.FieldName)
 		err = c.read(reader)
 	}
 	c.sendBad(0, err)
@@ -49,7 +51,7 @@
 	<-c.sender.Done()
 	orphaned := c.takeRequests()
 	if !endedNormally(err) {
-		c.gateway.log.Info("client connection ended", "client", hello.Get(lineproto.FieldName), "in_flight", len(orphaned), "err", err)
+		c.gateway.log.Info("client connection ended", "client", client, "in_flight", len(orphaned), "err", err)
 	}
 	for _, request := range orphaned {
 		c.disconnected(request)
