--- a/internal/engine/counters.go
+++ b/internal/engine/counters.go
@@ -19,6 +19,7 @@
 	Open     int                       // gauge: requests without a result
 	InFlight int                       // gauge: attempts without an outcome
 	Timers   int                       // gauge: timers set
+	Volumes  int                       // gauge: volumes whose state is kept
 	Outcomes [policy.NotSent + 1]int64 // attempts by outcome
 }
 
@@ -26,6 +27,7 @@
 func (c *Core) Counts() Counts {
 	counts := c.counts
 	counts.Timers = len(c.timers)
+	counts.Volumes = len(c.volumes)
 	return counts
 }
 
--- a/internal/httpgateway/downstream/penalty.go
+++ b/internal/httpgateway/downstream/penalty.go
@@ -31,6 +31,7 @@
 	}
 	c.endTurn()
 	c.heldBack = true
+	c.server.countHeldBack()
 	until := now.Add(maxPenalty/2 + rand.N(maxPenalty/2)) // not all at the same time
 	if begunAt := c.requestDeadline.Add(-requestTimeout); !c.requestDeadline.IsZero() && begunAt.Add(lastErrorAt).Before(until) {
 		until = begunAt.Add(lastErrorAt)
@@ -40,6 +41,13 @@
 	c.takeTurn()
 }
 
+// countHeldBack counts an error that is held back.
+func (s *Server) countHeldBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.HeldBack++
+}
+
 // awaitRetirement waits until a time, or until the connection is retired. It is not woken by what the client sends.
 func (c *conn) awaitRetirement(until time.Time) {
 	if _, retired := c.server.retirement(c); retired {
--- a/internal/httpgateway/downstream/server.go
+++ b/internal/httpgateway/downstream/server.go
@@ -104,6 +104,7 @@
 	Requests    int64 // requests submitted to the engine
 	BadRequests int64 // requests that are invalid, whatever the load
 	Shed        int64 // requests answered 503 without reaching the scheduler
+	HeldBack    int64 // errors that were held back
 	Open        int   // connections open now
 }
 
--- a/internal/httpgateway/gateway.go
+++ b/internal/httpgateway/gateway.go
@@ -33,6 +33,7 @@
 	// BeforeAttemptWrite is a hook for tests that is called right before each write of an attempt; may be nil.
 	BeforeAttemptWrite func()
 
+	shares   shares
 	loop     *engine.Loop
 	pool     *upstream.Pool
 	recorder *metrics.Recorder
@@ -53,7 +54,8 @@
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	defer func() { _ = listener.Close() }() // an error is ignored: the shutdown has closed it already
-	shares := divideLimits(g.Config.Limits)
+	g.shares = divideLimits(g.Config.Limits)
+	shares := g.shares
 	g.loop = engine.NewLoop(eventQueueLength)
 	g.recorder = metrics.New(g.Log)
 	g.pool = g.newPool(shares)
--- a/internal/httpgateway/state.go
+++ b/internal/httpgateway/state.go
@@ -11,6 +11,7 @@
 
 	"weirhaven/internal/engine"
 	"weirhaven/internal/httpgateway/downstream"
+	"weirhaven/internal/httpgateway/membudget"
 	"weirhaven/policy"
 )
 
@@ -20,7 +21,8 @@
 		"endpoints", len(c.KnownEndpoints.Entries), "revision", c.KnownEndpoints.Revision,
 		"cores", c.Limits.Cores, "memory_mb", c.Limits.MemoryMB,
 		"endpoint_idle_timeout", c.EndpointIdleTimeout, "connect_timeout", c.ConnectTimeout,
-		"max_client_connections", shares.clientConnections, "max_upstream_connections", shares.upstreamConnections)
+		"request_memory", shares.requests.Limit(), "read_ahead_memory", shares.readAhead.Limit(), "response_memory", shares.responses.Limit(),
+		"max_volumes", shares.volumes, "max_client_connections", shares.clientConnections, "max_upstream_connections", shares.upstreamConnections)
 }
 
 // logStatePeriodically logs totals until ctx ends.
@@ -59,6 +61,7 @@
 		slog.Int64("retries", requests.Retries),
 		slog.Int64("late_outcomes", requests.LateOutcomes),
 		slog.Duration("loop_delay", loopDelay),
+		slog.Int("volumes", requests.Volumes),
 	}
 	for outcome, count := range requests.Outcomes {
 		name := strings.ReplaceAll(policy.Outcome(outcome).String(), "-", "_")
@@ -66,6 +69,7 @@
 	}
 	attrs = append(attrs, processState()...)
 	attrs = append(attrs, g.connectionState(server)...)
+	attrs = append(attrs, g.memoryState()...)
 	g.Log.LogAttrs(context.Background(), slog.LevelInfo, "state", attrs...)
 }
 
@@ -105,6 +109,7 @@
 		slog.Int64("evicted", clients.Evicted),
 		slog.Int64("bad_requests", clients.BadRequests),
 		slog.Int64("shed", clients.Shed),
+		slog.Int64("held_back", clients.HeldBack),
 		slog.Int64("violations", g.recorder.Violations()),
 		slog.Int("upstream_connections", upstream.Open),
 		slog.Int64("opened", upstream.Opened),
@@ -114,3 +119,17 @@
 		slog.Int64("exhausted", upstream.Exhausted),
 	}
 }
+
+// memoryState returns what the process holds for its peers, in bytes, and how often a holder was refused or had to give way.
+func (g *Gateway) memoryState() (attrs []slog.Attr) {
+	var refused, gaveWay int64
+	for _, part := range []struct {
+		name   string
+		budget *membudget.Budget
+	}{{"request", g.shares.requests}, {"read_ahead", g.shares.readAhead}, {"response", g.shares.responses}} {
+		counts := part.budget.Counts()
+		attrs = append(attrs, slog.Int64(part.name+"_memory", counts.Used), slog.Int64(part.name+"_memory_peak", counts.Peak))
+		refused, gaveWay = refused+counts.Refused, gaveWay+counts.GaveWay
+	}
+	return append(attrs, slog.Int64("memory_refused", refused), slog.Int64("memory_gave_way", gaveWay))
+}
