--- a/internal/engine/attempts_test.go
+++ b/internal/engine/attempts_test.go
@@ -19,7 +19,7 @@
 	// Output:
 	//     0 ms  x.0 goes to a, 1s left
 	//   990 ms  x rejected, may have run false
-	// {Received:1 Served:0 Rejected:1 Failed:0 ClientDisconnected:0 Attempts:1 Retries:0 LateOutcomes:1 MismatchedOutcomes:0 Overlapping:0 Open:0 InFlight:0 Timers:3 Outcomes:[0 0 0 1 0 0 0 0]}
+	// {Received:1 Served:0 Rejected:1 Failed:0 ClientDisconnected:0 Attempts:1 Retries:0 LateOutcomes:1 MismatchedOutcomes:0 Overlapping:0 Open:0 InFlight:0 Timers:3 Volumes:1 Outcomes:[0 0 0 1 0 0 0 0]}
 }
 
 // An endpoint resets the connection after the last byte of a request that is not idempotent was sent. The request may have
