A close before the accept counts; a hanging endpoint no longer keeps the turns of pipelines

A pipelined request kept its turn until the engine's response; 16 requests to endpoints that hang would have stopped the pipelines of all clients. Responses that a client may leave unread are written without a turn.

--- a/internal/httpgateway/downstream/accept.go
+++ b/internal/httpgateway/downstream/accept.go
@@ -25,7 +25,7 @@
 	acceptWindow = 250 * time.Millisecond
 	// acceptsPerCore is the rate of accepts, per second and core, above a burst of acceptBurst. Work on new connections takes no more
 	// than a part of the CPU, so that the open ones are served.
-	acceptsPerCore = 2400
+	acceptsPerCore = 4000
 	acceptBurst    = 200
 	// acceptRetryInterval is the pause after a failed accept.
 	acceptRetryInterval = 2 * time.Millisecond
@@ -95,7 +95,7 @@
 // open starts serving a connection, which has a turn.
 func (s *Server) open(listener net.Listener, nc net.Conn) {
 	c := newConn(s, nc)
-	c.needsTurn, c.hasTurn = s.newcomers, true
+	c.needsTurn, c.turn = s.newcomers, &heldTurn{of: s.newcomers}
 	c.acceptDelay = s.acceptDelay(listener)
 	s.mu.Lock()
 	s.counts.Accepted++
--- a/internal/httpgateway/downstream/conn.go
+++ b/internal/httpgateway/downstream/conn.go
@@ -31,7 +31,7 @@
 
 	requestDeadline time.Time         // time by which the request being read must be complete; zero: none is being read
 	writeDeadline   time.Time         // time by which the response must be written; zero: writeTimeout from now
-	stateKnown      bool              // the system told the connection's state when it was accepted
+	wasEstablished  bool              // the connection was open when it was accepted, as far as the system tells
 	acceptDelay     time.Duration     // estimate of the time that the connection waited in the accept queue
 	mustClose       bool              // true: the client requested the close, or its input is malformed
 	lastResponse    bool              // true: the connection closes after the next response
@@ -44,9 +44,9 @@
 	request     *engine.Request // submitted request that is neither answered nor canceled
 	proven      bool            // true: the engine has served a request of the connection
 	needsTurn   *turns          // what limits the work on the present request; nil: nothing
-	hasTurn     bool
-	heldBack    bool // true: an error was held back
-	clientGone  bool // true: the client has disconnected
+	turn        *heldTurn       // nil: none
+	heldBack    bool            // true: an error was held back
+	clientGone  bool            // true: the client has disconnected
 	closeReason metrics.Reason
 
 	// Guarded by Server.mu.
@@ -66,7 +66,7 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, responses: make(chan engine.Response, 1), retirements: make(chan struct{}, 1), requestDeadline: time.Now().Add(requestTimeout)}
-	c.stateKnown, _ = socket.Established(nc)
+	c.wasEstablished = socket.Established(nc)
 	c.memory = s.options.RequestMemory.Open(func() { s.giveWay(c) })
 	c.pipeline = &pipelineBuffer{source: c, now: s.options.Loop.Now, memory: s.options.ReadAheadMemory.Open(nil)}
 	c.reader = http1.NewReaderWithMemory(c.pipeline, requestMemory{c})
--- a/internal/httpgateway/downstream/reject.go
+++ b/internal/httpgateway/downstream/reject.go
@@ -12,6 +12,7 @@
 // shed answers a request with 503 without submitting it to the scheduler, so the client may safely retry it.
 func (c *conn) shed(reason metrics.Reason) bool {
 	c.server.countShed(reason)
+	c.endTurn() // the client may read nothing
 	return c.respond(503, "", nil)
 }
 
--- a/internal/httpgateway/downstream/serve.go
+++ b/internal/httpgateway/downstream/serve.go
@@ -23,6 +23,7 @@
 	c.mustClose = head.Close
 	if status, body, ok := c.server.serveAdminPath(head); ok {
 		c.pendingID = adminRequestID
+		c.endTurn() // the client may read nothing
 		return c.respond(status, "", body)
 	}
 	request, err := c.readRequest(head)
@@ -87,9 +88,7 @@
 		c.clientGone, c.closeReason = true, metrics.ClientClosed
 		return false
 	}
-	if c.needsTurn == s.newcomers {
-		c.endTurn()
-	}
+	c.limitTurn()
 	c.inEngine = true
 	_ = c.nc.SetReadDeadline(time.Time{}) // no deadline: the engine answers every request in time
 	s.mu.Lock()
@@ -111,8 +110,7 @@
 	case socket.Closed:
 		return true
 	case socket.Unread:
-		established, known := socket.Established(c.nc)
-		return c.stateKnown && known && !established
+		return socket.PeerClosed(c.nc, c.wasEstablished)
 	}
 	return false
 }
--- a/internal/httpgateway/downstream/turns.go
+++ b/internal/httpgateway/downstream/turns.go
@@ -1,6 +1,11 @@
 package downstream
 
-import "weirhaven/internal/httpgateway/socket"
+import (
+	"sync"
+	"time"
+
+	"weirhaven/internal/httpgateway/socket"
+)
 
 // turns limits how many connections of one kind work at the same time. Those that wait are served in their order.
 //
@@ -13,9 +18,10 @@
 	// newcomerTurns is for accepting connections that have not had a response from the engine, and for reading and refusing their
 	// requests. Further ones wait in the kernel's accept queue.
 	newcomerTurns = 8
-	// followerTurns is for pipelined requests behind an earlier one, from their reading to the engine's response. Most clients send
-	// one request at a time.
-	followerTurns = 16
+	// followerTurns is for pipelined requests behind an earlier one, from their reading to the engine's response, but not for longer
+	// than maxFollowerTurn. Most clients send one request at a time.
+	followerTurns   = 16
+	maxFollowerTurn = 20 * time.Millisecond
 )
 
 func newTurns(count int) *turns {
@@ -42,20 +48,39 @@
 // end gives a turn back.
 func (t *turns) end() { t.free <- struct{}{} }
 
+// heldTurn is a turn that a connection has.
+type heldTurn struct {
+	of    *turns
+	ended sync.Once
+}
+
+// end gives the turn back; a second call has no effect. It may be called from any goroutine.
+func (t *heldTurn) end() { t.ended.Do(t.of.end) }
+
 // takeTurn waits for the connection's turn, if its present request needs one.
 func (c *conn) takeTurn() {
-	if c.needsTurn != nil && !c.hasTurn {
+	if c.needsTurn != nil && c.turn == nil {
 		c.needsTurn.take()
-		c.hasTurn = true
+		c.turn = &heldTurn{of: c.needsTurn}
 	}
 }
 
 // endTurn gives the connection's turn back, if it has one.
 func (c *conn) endTurn() {
-	if c.hasTurn {
-		c.needsTurn.end()
-		c.hasTurn = false
+	if c.turn != nil {
+		c.turn.end()
+		c.turn = nil
+	}
+}
+
+// limitTurn gives the connection's turn back when its request was submitted, or soon after if it is a pipelined one: an endpoint that
+// hangs must not hold up the pipelined requests of all clients.
+func (c *conn) limitTurn() {
+	if c.turn == nil || c.needsTurn != c.server.followers {
+		c.endTurn()
+		return
 	}
+	time.AfterFunc(maxFollowerTurn, c.turn.end)
 }
 
 // awaitTurnToRead gives the turn back while there is nothing to read, and takes it again before the read.
--- a/internal/httpgateway/socket/tcpinfo.go
+++ b/internal/httpgateway/socket/tcpinfo.go
@@ -10,14 +10,31 @@
 // States of a TCP socket, as the kernel numbers them.
 const (
 	stateEstablished = 1
+	stateClosed      = 7
+	stateCloseWait   = 8
+	stateLastAck     = 9
 	stateListen      = 10
+	stateClosing     = 11
 )
 
-// Established reports whether a connection is open in both directions. Unlike Peek it also sees a close behind unread bytes. known is
-// false if the system doesn't tell.
-func Established(nc net.Conn) (established, known bool) {
+// Established reports whether the system tells that a connection is open in both directions.
+func Established(nc net.Conn) bool {
 	info, ok := tcpInfo(nc)
-	return ok && info.State == stateEstablished, ok
+	return ok && info.State == stateEstablished
+}
+
+// PeerClosed reports whether the system tells that the peer has closed or reset a connection. Unlike Peek it also sees a close behind
+// unread bytes. A socket that was never seen open, see Established, is not taken for reset.
+func PeerClosed(nc net.Conn, wasEstablished bool) bool {
+	info, ok := tcpInfo(nc)
+	if !ok {
+		return false
+	}
+	switch info.State {
+	case stateCloseWait, stateLastAck, stateClosing:
+		return true
+	}
+	return wasEstablished && info.State == stateClosed
 }
 
 // AcceptQueue returns the number of connections that wait to be accepted; known is false if the system doesn't tell.
--- a/internal/soak/fault_client.go
+++ b/internal/soak/fault_client.go
@@ -44,13 +44,19 @@
 	r.load.behavior.setUntilDone(burst, &r.load.behavior.rateMultiple, 6, 1)
 }
 
-// floodWithClients makes as many clients send at once as a process may have connections, in addition to its usual ones. Each
+// minFloodClients is the least number of flooding clients of a process, more than its clients' part of the fewest descriptors.
+const minFloodClients = 96
+
+// floodClients returns the number of flooding clients of a process: usual clients hold at most a third of its descriptors.
+func (d Deployment) floodClients() int { return max(minFloodClients, d.Sockets/3) }
+
+// floodWithClients makes many clients send at once, in addition to the usual ones of a process. Each
 // sends its requests on new connections and in two pieces.
 func floodWithClients(ctx context.Context, r *run, rng *rand.Rand) {
 	seed := rng.Int63()
 	forEachConcurrently(pickSome(rng, r.processes, 8), func(p *process) {
 		var clients sync.WaitGroup
-		for client := range r.deployment.Sockets {
+		for client := range r.deployment.floodClients() {
 			own := rand.New(rand.NewSource(seed + int64(p.number*r.deployment.Sockets+client)))
 			clients.Add(1)
 			go func() {
