Connections whose clients read nothing give up their places to new ones

A blocked write counted as a request in progress, which is never evicted.

A connection whose response has been blocked for half a second makes room after those that sent nothing or no whole request.

--- a/internal/httpgateway/downstream/connstate.go
+++ b/internal/httpgateway/downstream/connstate.go
@@ -4,7 +4,7 @@
 	"time"
 )
 
-// connState is the state of a connection without a request in progress.
+// connState is the state of a connection that may be evicted.
 type connState int
 
 const (
@@ -13,6 +13,7 @@
 	idle                            // between two requests
 	reading                         // part of a request was read
 	penalized                       // the error for its request is held back
+	writing                         // a response is being written
 	connStateCount                  // number of states
 )
 
@@ -34,6 +35,18 @@
 	c.element, c.stateSince = c.list.PushBack(c), time.Now()
 }
 
+// markWriting moves a connection to writing. Its deadlines and its request in progress stay as they are.
+func (s *Server) markWriting(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.retired {
+		return
+	}
+	s.leaveState(c)
+	c.list = &s.byState[writing]
+	c.element, c.stateSince = c.list.PushBack(c), time.Now()
+}
+
 // admit marks a connection as having a request in progress; it returns false if Options.MaxConnections have one already. The
 // retirement of a connection is canceled: it had a request when it was retired, which is served as its last one.
 func (s *Server) admit(c *conn) bool {
--- a/internal/httpgateway/downstream/eviction.go
+++ b/internal/httpgateway/downstream/eviction.go
@@ -16,11 +16,12 @@
 	longIdle     = 2 * time.Second
 	longFresh    = 500 * time.Millisecond
 	longReading  = time.Second
+	longWriting  = 500 * time.Millisecond // the client doesn't read its response
 )
 
 // evictionOrder is the order in which connections are evicted. Each step selects the connection that has been in the state
 // for longest, if that is at least minAge.
-var evictionOrder = []evictionStep{{lingering, minLingering}, {penalized, 0}, {idle, longIdle}, {fresh, longFresh}, {reading, longReading},
+var evictionOrder = []evictionStep{{lingering, minLingering}, {penalized, 0}, {idle, longIdle}, {fresh, longFresh}, {reading, longReading}, {writing, longWriting},
 	{idle, 0}, {fresh, minFresh}, {reading, minReading}}
 
 type evictionStep struct {
@@ -46,7 +47,7 @@
 			continue
 		}
 		c := oldest.Value.(*conn)
-		if step.state != penalized && step.minAge < longFresh && step.state != lingering && s.byState[penalized].Len() > 0 {
+		if step.state != penalized && step.minAge < longWriting && step.state != lingering && s.byState[penalized].Len() > 0 {
 			return // a new connection waits rather than replace one of a client that was not refused
 		}
 		if time.Since(c.stateSince) < s.minAge(step) {
@@ -65,7 +66,7 @@
 		return s.penaltyAge
 	}
 	usual := step.minAge
-	if !s.backlogSince.IsZero() && time.Since(s.backlogSince) >= backlogTolerance {
+	if step.state != writing && !s.backlogSince.IsZero() && time.Since(s.backlogSince) >= backlogTolerance {
 		return min(usual, backlogMinAge)
 	}
 	return usual
@@ -75,6 +76,9 @@
 // closes the socket. It first checks whether a request has arrived meanwhile and serves it as the last one. If retire closed
 // the socket, a request that was sent completely could be lost without a response. The caller holds mu.
 func (s *Server) retire(c *conn, reason metrics.Reason) {
+	if c.element != nil && c.list == &s.byState[writing] {
+		_ = c.nc.SetWriteDeadline(pastDeadline)
+	}
 	s.leaveState(c)
 	if !c.retired {
 		c.retired = true
--- a/internal/httpgateway/downstream/respond.go
+++ b/internal/httpgateway/downstream/respond.go
@@ -66,6 +66,7 @@
 	}
 	_ = c.nc.SetWriteDeadline(c.writeDeadline)
 	c.writeDeadline = time.Time{}
+	c.server.markWriting(c)
 	if err := c.write(message, body); err != nil {
 		c.clientGone, c.closeReason = true, metrics.WriteFailed
 		return false
