What a client has sent is read before its request begins; the soak judges returned ids rightly

What has come is read ahead, within the bounds of the pipeline, before a request is submitted; with far too much behind it the request is refused with 503. TestCloseBehindFullWindow failed before (the client was taken to be there), and passes.

It judges what returns by the audit alone now, and half of the clients don't return.

--- a/internal/httpgateway/downstream/conn_test.go
+++ b/internal/httpgateway/downstream/conn_test.go
@@ -130,3 +130,19 @@
 		t.Error("the client is taken to be there")
 	}
 }
+
+// A client sends more than the receive window and leaves before its connection is accepted, so that its close can't arrive before what
+// it sent is read. Its first request must not begin.
+func TestCloseBehindFullWindow(t *testing.T) {
+	c, client := newTestConn(t)
+	client.(*net.TCPConn).SetWriteBuffer(1 << 20)
+	client.SetWriteDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(client, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 20_000)); err != nil {
+		t.Fatal(err)
+	}
+	client.Close()
+	err := c.readReceived()
+	if c.pipeline.err == nil && !errors.Is(err, errPipelineLimit) {
+		t.Errorf("the client is taken to be there: %v", err)
+	}
+}
--- a/internal/httpgateway/downstream/eviction.go
+++ b/internal/httpgateway/downstream/eviction.go
@@ -16,7 +16,7 @@
 	longIdle     = 2 * time.Second
 	longFresh    = 500 * time.Millisecond
 	longReading  = time.Second
-	longWriting  = 500 * time.Millisecond // the client doesn't read its response
+	longWriting  = 250 * time.Millisecond // the client doesn't read its response
 )
 
 // evictionOrder is the order in which connections are evicted. Each step selects the connection that has been in the state
@@ -78,6 +78,7 @@
 func (s *Server) retire(c *conn, reason metrics.Reason) {
 	if c.element != nil && c.list == &s.byState[writing] {
 		_ = c.nc.SetWriteDeadline(pastDeadline)
+		s.clearInProgress(c) // the new connection's request takes its place at once
 	}
 	s.leaveState(c)
 	if !c.retired {
--- a/internal/httpgateway/downstream/pipeline.go
+++ b/internal/httpgateway/downstream/pipeline.go
@@ -22,6 +22,7 @@
 	arrivals  []arrival            // ranges that contain the buffered and the last consumed bytes, oldest first
 	err       error                // permanent error of the connection
 	muchComes bool                 // true: the last read filled its buffer
+	received  int64                // bytes read from the connection so far
 	discarded int                  // bytes discarded since the buffer limit was exceeded
 	truncated bool                 // true: the buffer limit was exceeded, and input after buffered was discarded
 	memory    *membudget.Account
@@ -66,7 +67,7 @@
 		return 0, errPipelineLimit
 	}
 	n, err := b.source.Read(p)
-	b.received(b.consumed, n, err)
+	b.record(b.consumed, n, err)
 	b.consumed += int64(n)
 	return n, err
 }
@@ -102,7 +103,7 @@
 func (b *pipelineBuffer) readAheadInto(piece []byte) error {
 	n, err := b.source.Read(piece)
 	b.muchComes = n == len(piece)
-	b.received(b.consumed+int64(len(b.buffered)), n, err)
+	b.record(b.consumed+int64(len(b.buffered)), n, err)
 	if b.truncated = b.truncated || n > 0 && !b.makeRoom(n); !b.truncated {
 		b.buffered = append(b.buffered, piece[:n]...)
 		return err
@@ -139,9 +140,10 @@
 // close releases everything when the connection is closed.
 func (b *pipelineBuffer) close() { b.memory.Close() }
 
-// received records the arrival time of n bytes, the first of which has the offset from. It keeps err as the permanent error
+// record records the arrival time of n bytes, the first of which has the offset from. It keeps err as the permanent error
 // unless err is an exceeded deadline.
-func (b *pipelineBuffer) received(from int64, n int, err error) {
+func (b *pipelineBuffer) record(from int64, n int, err error) {
+	b.received += int64(max(n, 0))
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		b.err = err
 	}
--- a/internal/httpgateway/downstream/serve.go
+++ b/internal/httpgateway/downstream/serve.go
@@ -66,6 +66,9 @@
 // submit submits a request to the engine and writes its response. It reports whether the connection stays open.
 func (c *conn) submit(request *engine.Request) bool {
 	s, id := c.server, request.Trace
+	if err := c.readReceived(); err != nil {
+		return c.rejectMalformed(err)
+	}
 	c.memory.SetYield(membudget.ToNobody)
 	if !s.admit(c) {
 		c.lastResponse = true
@@ -104,6 +107,34 @@
 	return c.complete(request)
 }
 
+const (
+	// muchReceived is the number of bytes behind a request from which on more may follow at once.
+	muchReceived = 16 << 10
+	// moreComesWithin is the time for which that is waited for.
+	moreComesWithin = 5 * time.Millisecond
+)
+
+// readReceived reads ahead what the client has sent behind the present request. The close of a client that has sent much can't even
+// arrive before that is read: its request must not begin. It returns errPipelineLimit if there is far too much.
+func (c *conn) readReceived() error {
+	before := c.pipeline.received
+	for c.pipeline.err == nil {
+		if socket.Peek(c.nc) != socket.Unread {
+			if c.pipeline.received-before < muchReceived {
+				return nil
+			}
+			_ = c.nc.SetReadDeadline(time.Now().Add(moreComesWithin)) // a broken connection fails the read
+		}
+		switch err := c.pipeline.readAhead(); {
+		case errors.Is(err, errPipelineFlood):
+			return errPipelineLimit
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil
+		}
+	}
+	return nil
+}
+
 // clientClosed reports whether the client has closed its connection, also behind bytes that were not read yet.
 func (c *conn) clientClosed() bool {
 	switch socket.Peek(c.nc) {
--- a/internal/soak/fault_hostile.go
+++ b/internal/soak/fault_hostile.go
@@ -96,19 +96,32 @@
 			go p.limitCPU(ctx, r.deployment.Cores)
 		}
 		for ctx.Err() == nil {
-			texts := r.load.sendAndDepart(p.number, own)
+			texts, numbers := r.load.sendAndDepart(p.number, own)
 			wait(ctx, returnDelay)
-			r.load.sendUnrecorded(p.number, texts)
+			if own.Intn(2) == 0 { // half of the clients don't come again: nothing of them may begin any more
+				r.load.markReturned(numbers)
+				r.load.sendUnrecorded(p.number, texts)
+			}
 			wait(ctx, returnDelay)
 		}
 	})
 }
 
-// sendAndDepart sends departingRequests requests at once and disconnects. It returns the requests' texts.
-func (l *load) sendAndDepart(process int, rng *rand.Rand) (texts string) {
+// markReturned records that clients send requests again that they had left. What reaches an endpoint from now on may be of either
+// sending; the audit judges that nothing takes effect twice.
+func (l *load) markReturned(numbers []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, number := range numbers {
+		l.returned[number] = l.run.recorder.Now()
+	}
+}
+
+// sendAndDepart sends departingRequests requests at once and disconnects. It returns the requests' texts and numbers.
+func (l *load) sendAndDepart(process int, rng *rand.Rand) (texts string, numbers []uint64) {
 	c, err := l.connect(process, true)
 	if err != nil {
-		return ""
+		return "", nil
 	}
 	var text strings.Builder
 	requests := make([]request, departingRequests)
@@ -117,6 +130,7 @@
 		q := l.drawRequest(process, rng)
 		q.plan, q.abandonAfter, q.padding = 0, 0, padding
 		requests[i] = q
+		numbers = append(numbers, q.number)
 		l.recordAsked(q, c)
 		text.WriteString(q.text(l.run.deployment.RequestTimeout))
 	}
@@ -132,7 +146,7 @@
 		l.run.recorder.See(&pb.Seen{What: pb.Seen_GIVEN_UP, Host: uint32(process), Command: q.number})
 		l.run.recorder.See(&pb.Seen{What: pb.Seen_UNANSWERED, Host: uint32(process), Command: q.number, How: "client"})
 	}
-	return text.String()
+	return text.String(), numbers
 }
 
 // sendUnrecorded sends requests that were sent before, without recording them, and reads what is answered for a while.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -61,6 +61,9 @@
 // judgeAttempt checks the remaining time that an attempt declares to the endpoint and the time at which it arrived there.
 func (r *run) judgeAttempt(request, arrival *pb.Seen) {
 	reachedAt := time.Duration(arrival.At)
+	if r.load.hasReturned(request.Command, reachedAt) {
+		return
+	}
 	remaining := time.Duration(request.At+request.Timeout) - reachedAt
 	p := r.processes[request.Host]
 	slack := maxProcessStall + observationDelay + p.excessSuspension(time.Duration(request.At), reachedAt)
@@ -81,6 +84,14 @@
 	}
 }
 
+// hasReturned reports whether a client had sent a request again by a time.
+func (l *load) hasReturned(number uint64, by time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	returnedAt, returned := l.returned[number]
+	return returned && by >= returnedAt
+}
+
 // judgeShutdowns checks that each request sent after SIGTERM gets a response, unless the process is killed. The audit doesn't
 // check these requests: gateways of the line protocol may refuse new requests during a shutdown.
 func (r *run) judgeShutdowns(observations []*pb.Seen) {
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -40,10 +40,11 @@
 
 	mu        sync.Mutex
 	abandoned map[uint64]time.Duration // time at which a client disconnected before the response, by request
+	returned  map[uint64]time.Duration // time at which its client sent the request again, by request
 }
 
 func newLoad(r *run, rng *rand.Rand) *load {
-	l := &load{run: r, pools: make([]connections, len(r.processes)), abandoned: map[uint64]time.Duration{}, seed: rng.Int63()}
+	l := &load{run: r, pools: make([]connections, len(r.processes)), abandoned: map[uint64]time.Duration{}, returned: map[uint64]time.Duration{}, seed: rng.Int63()}
 	l.behavior.rateMultiple.Store(1)
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
