--- a/internal/httpgateway/downstream/accept.go
+++ b/internal/httpgateway/downstream/accept.go
@@ -26,6 +26,7 @@
 	// acceptsPerCore is the rate of accepts, per second and core, above a burst of acceptBurst. Work on new connections takes no more
 	// than a part of the CPU, so that the open ones are served.
 	acceptsPerCore = 4000
+	minAccepts     = 400 // accepts per second, however small the share of a core
 	acceptBurst    = 200
 	// acceptRetryInterval is the pause after a failed accept.
 	acceptRetryInterval = 2 * time.Millisecond
--- a/internal/httpgateway/downstream/penalty.go
+++ b/internal/httpgateway/downstream/penalty.go
@@ -11,6 +11,8 @@
 const (
 	// maxErrorsPerCore is the rate of errors, per second and core, from which on they are held back.
 	maxErrorsPerCore = 1200
+	// minErrors is the same rate, per second, however small the share of a core.
+	minErrors = 100
 	// errorBurst is the number of errors that may exceed the rate for a moment.
 	errorBurst = 100
 	// maxPenalty is the longest time for which an error is held back.
--- a/internal/httpgateway/downstream/server.go
+++ b/internal/httpgateway/downstream/server.go
@@ -111,7 +111,7 @@
 // New returns a server that accepts no connections before Serve is called.
 func New(options Options) *Server {
 	s := &Server{options: options, classes: map[string]policy.RequestClass{}, plans: map[string]bool{}, conns: map[*conn]bool{},
-		ids: newRequestIDs(options.IDMemory), newcomers: newTurns(newcomerTurns), followers: newTurns(followerTurns), acceptLimit: newRateLimit(acceptsPerCore*options.Cores, acceptBurst), errors: newRateLimit(maxErrorsPerCore*options.Cores, errorBurst), penaltyAge: penaltyEvictionAge(options.MaxConnections, options.Cores), connClosed: make(chan struct{}, 1)}
+		ids: newRequestIDs(options.IDMemory), newcomers: newTurns(newcomerTurns), followers: newTurns(followerTurns), acceptLimit: newRateLimit(max(acceptsPerCore*options.Cores, minAccepts), acceptBurst), errors: newRateLimit(max(maxErrorsPerCore*options.Cores, minErrors), errorBurst), penaltyAge: penaltyEvictionAge(options.MaxConnections, options.Cores), connClosed: make(chan struct{}, 1)}
 	for _, class := range options.Settings.Classes {
 		s.classes[class.Name] = class
 	}
--- a/internal/httpgateway/limits.go
+++ b/internal/httpgateway/limits.go
@@ -20,7 +20,7 @@
 	connectionMemoryDivisor = 6
 	// connectionMemory is what a client connection holds without a request: its goroutine's stack, its state and its first buffer,
 	// in bytes.
-	connectionMemory = 10 << 10
+	connectionMemory = 12 << 10
 )
 
 // shares holds the parts of the process's limits for the client side and the endpoint side. Their sum is within the limits.
