At a shutdown's deadline pipelined requests that were read are refused, not dropped

Past the deadline the next response was the last one whatever was buffered. Now nothing more is read there, and each buffered request gets 503; the response to the last whole one closes the connection.

--- a/internal/httpgateway/downstream/eviction.go
+++ b/internal/httpgateway/downstream/eviction.go
@@ -47,8 +47,8 @@
 			continue
 		}
 		c := oldest.Value.(*conn)
-		if step.state != penalized && step.minAge < longWriting && step.state != lingering && s.byState[penalized].Len() > 0 {
-			return // a new connection waits rather than replace one of a client that was not refused
+		if step.state == idle && step.minAge == 0 && s.byState[penalized].Len() > 0 {
+			continue // a new connection waits rather than replace one whose client has just been served
 		}
 		if time.Since(c.stateSince) < s.minAge(step) {
 			continue
--- a/internal/httpgateway/downstream/pipeline.go
+++ b/internal/httpgateway/downstream/pipeline.go
@@ -24,6 +24,7 @@
 	muchComes bool                 // true: the last read filled its buffer
 	received  int64                // bytes read from the connection so far
 	discarded int                  // bytes discarded since the buffer limit was exceeded
+	stopped   bool                 // true: nothing more is read from the connection
 	truncated bool                 // true: the buffer limit was exceeded, and input after buffered was discarded
 	memory    *membudget.Account
 }
@@ -63,7 +64,7 @@
 	if b.err != nil {
 		return 0, b.err
 	}
-	if b.truncated {
+	if b.truncated || b.stopped {
 		return 0, errPipelineLimit
 	}
 	n, err := b.source.Read(p)
--- a/internal/httpgateway/downstream/respond.go
+++ b/internal/httpgateway/downstream/respond.go
@@ -100,13 +100,17 @@
 }
 
 // isLastResponse reports whether the connection closes after the current response. Pipelined requests that were already read
-// are served first, unless the connection must close.
+// are served first, or refused once the shutdown's deadline has passed, unless the connection must close.
 func (c *conn) isLastResponse() bool {
 	switch {
 	case c.mustClose:
 		return true
 	case c.lastResponse || c.server.draining.Load():
-		return !c.hasPipelined() || c.server.pastShutdownDeadline()
+		if c.server.pastShutdownDeadline() {
+			c.pipeline.stopped = true
+			return !c.hasCompletePipelinedHead()
+		}
+		return !c.hasPipelined()
 	}
 	return false
 }
--- a/internal/httpgateway/downstream/serve.go
+++ b/internal/httpgateway/downstream/serve.go
@@ -66,6 +66,9 @@
 // submit submits a request to the engine and writes its response. It reports whether the connection stays open.
 func (c *conn) submit(request *engine.Request) bool {
 	s, id := c.server, request.Trace
+	if c.pipeline.stopped {
+		return c.shed(metrics.ShuttingDown)
+	}
 	if err := c.readReceived(); err != nil {
 		return c.rejectMalformed(err)
 	}
