The wait for a turn and the start of a queue count as waiting for a request's deadline

A connection that waited for its turn took the read as the moment its bytes came; and in the first quarter second of a queue the rate of a first burst was taken for its pace. Bytes count from when they could be read, and until a window has passed from when the queue began.

--- a/internal/httpgateway/downstream/accept.go
+++ b/internal/httpgateway/downstream/accept.go
@@ -123,7 +123,7 @@
 	if !known {
 		return min(delay, maxUnknownDelay)
 	}
-	return min(delay, s.accepts.wait(now), maxAcceptDelay)
+	return min(s.accepts.wait(now, delay), maxAcceptDelay)
 }
 
 // awaitDescriptor blocks until one more connection may be opened or the server drains.
--- a/internal/httpgateway/downstream/acceptrate.go
+++ b/internal/httpgateway/downstream/acceptrate.go
@@ -27,8 +27,12 @@
 	}
 }
 
-// wait estimates for how long the connection that was just accepted has waited: those before it were accepted first.
-func (r *acceptRate) wait(now time.Time) time.Duration {
+// wait estimates for how long the connection that was just accepted has waited: those before it were accepted first. It is at most most,
+// the time since the queue began, which is all that is known before the first window has passed.
+func (r *acceptRate) wait(now time.Time, most time.Duration) time.Duration {
+	if r.lastInterval == 0 {
+		return most
+	}
 	interval := max(r.lastInterval, now.Sub(r.windowStart)/time.Duration(r.inWindow+1))
-	return time.Duration(max(r.longest, r.lastLongest)+1) * interval
+	return min(time.Duration(max(r.longest, r.lastLongest)+1)*interval, most)
 }
--- a/internal/httpgateway/downstream/conn.go
+++ b/internal/httpgateway/downstream/conn.go
@@ -32,6 +32,7 @@
 	requestDeadline time.Time         // time by which the request being read must be complete; zero: none is being read
 	writeDeadline   time.Time         // time by which the response must be written; zero: writeTimeout from now
 	wasEstablished  bool              // the connection was open when it was accepted, as far as the system tells
+	readableAt      time.Duration     // time on the loop's clock at which the bytes of the present read had come; 0: when they are read
 	acceptDelay     time.Duration     // estimate of the time that the connection waited in the accept queue
 	mustClose       bool              // true: the client requested the close, or its input is malformed
 	lastResponse    bool              // true: the connection closes after the next response
@@ -68,11 +69,19 @@
 	c := &conn{server: s, nc: nc, responses: make(chan engine.Response, 1), retirements: make(chan struct{}, 1), requestDeadline: time.Now().Add(requestTimeout)}
 	c.wasEstablished = socket.Established(nc)
 	c.memory = s.options.RequestMemory.Open(func() { s.giveWay(c) })
-	c.pipeline = &pipelineBuffer{source: c, now: s.options.Loop.Now, memory: s.options.ReadAheadMemory.Open(nil)}
+	c.pipeline = &pipelineBuffer{source: c, now: c.arrivalNow, memory: s.options.ReadAheadMemory.Open(nil)}
 	c.reader = http1.NewReaderWithMemory(c.pipeline, requestMemory{c})
 	return c
 }
 
+// arrivalNow returns the time, on the loop's clock, at which the bytes that were just read had come.
+func (c *conn) arrivalNow() time.Duration {
+	if c.readableAt > 0 {
+		return c.readableAt
+	}
+	return c.server.options.Loop.Now()
+}
+
 func (c *conn) run() {
 	defer c.finish()
 	for c.serveNext() {
@@ -138,6 +147,7 @@
 // Read reads from the socket. It returns a deadline error only if the receive buffer is empty. Otherwise a request that
 // arrived just as its connection was evicted or the server shut down would be answered by a reset.
 func (c *conn) Read(p []byte) (int, error) {
+	c.readableAt = 0
 	if !c.inEngine && c.needsTurn != nil {
 		c.awaitTurnToRead()
 	}
--- a/internal/httpgateway/downstream/turns.go
+++ b/internal/httpgateway/downstream/turns.go
@@ -89,6 +89,7 @@
 		c.endTurn()
 		socket.AwaitReadable(c.nc) // returns early at the read deadline, which the read then reports
 	}
+	c.readableAt = c.server.options.Loop.Now() // before the turn: a request's timeout starts when it has come
 	c.takeTurn()
 }
 
--- a/internal/httpgateway/downstream/turns_test.go
+++ b/internal/httpgateway/downstream/turns_test.go
@@ -51,3 +51,21 @@
 		t.Error("there are more turns than before")
 	}
 }
+
+// A request's timeout starts when its bytes have come, not when its connection gets a turn to read them.
+func TestWaitForTurnCounts(t *testing.T) {
+	c, client := newTestConn(t)
+	for range newcomerTurns {
+		c.server.newcomers.take()
+	}
+	c.needsTurn = c.server.newcomers
+	client.Write([]byte("GET"))
+	const wait = 100 * time.Millisecond
+	time.AfterFunc(wait, c.server.newcomers.end)
+	if err := c.reader.Await(); err != nil {
+		t.Fatal(err)
+	}
+	if age := c.server.options.Loop.Now() - c.pipeline.arrivalTime(c.reader.Buffered()); age < wait/2 {
+		t.Errorf("the bytes came %v ago, wanted %v", age, wait)
+	}
+}
